--- a/cranescale/__init__.py
+++ /dev/null
@@ -1,5 +0,0 @@
-"""cranescale: the decisions of a request router for caches that fill from parents and an origin."""
-
-from cranescale.choice import Router
-
-__all__ = ["Router"]
--- a/cranescale/choice.py
+++ b/olivecourse/choice.py
@@ -1,4 +1,4 @@
-"""Every decision of the request router. Types, events and actions: cranescale/interface.py.
+"""Every decision of the request router. Types, events and actions: olivecourse/interface.py.
 
 NetKV's hashed names decide the ordinary path, guards keep the rules, trust and limits meet what fails.
 """
@@ -10,10 +10,10 @@
 from random import Random
 from typing import Any
 
-from cranescale import interface as w
-from cranescale.ring import Ring, rendezvous, steps
-from cranescale.sketch import HyperLogLog, LossyCounter, max_balls
-from cranescale.state import Held, Node
+from olivecourse import interface as w
+from olivecourse.ring import Ring, rendezvous, steps
+from olivecourse.sketch import HyperLogLog, LossyCounter, max_balls
+from olivecourse.state import Held, Node
 
 MS = 1_000_000
 # The mechanism of NetKV.
--- a/cranescale/interface.py
+++ b/olivecourse/interface.py
@@ -1,4 +1,4 @@
-"""Settings, events and actions of `cranescale.choice.Router`: types only.
+"""Settings, events and actions of `olivecourse.choice.Router`: types only.
 
 Times are whole nanoseconds on the caller's clock, sizes are KB. A field's default is what an absent
 value means. `None` stands for a value that the caller does not have.
--- a/cranescale/ring.py
+++ b/olivecourse/ring.py
@@ -6,8 +6,8 @@
 from bisect import bisect_left
 from collections.abc import Iterable, Iterator
 
-from cranescale.sketch import hash64, unit
-from cranescale.state import Node
+from olivecourse.sketch import hash64, unit
+from olivecourse.state import Node
 
 
 class Ring:
--- a/cranescale/state.py
+++ b/olivecourse/state.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from cranescale.interface import Member, Request, RequestClass
+from olivecourse.interface import Member, Request, RequestClass
 
 
 @dataclass(slots=True, eq=False)  # each is itself alone, however alike
--- a/cranescale/wirehost.py
+++ b/olivecourse/wirehost.py
@@ -9,8 +9,8 @@
 from dataclasses import fields
 from typing import Any, TextIO
 
-from cranescale import interface as w
-from cranescale.choice import Router
+from olivecourse import interface as w
+from olivecourse.choice import Router
 
 Convert = Callable[[str], Any]
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from cranescale import interface as w
-from cranescale.choice import Router
+from olivecourse import interface as w
+from olivecourse.choice import Router
 
 MS = 1_000_000
 S = 1_000 * MS
--- a/tests/test_library.py
+++ b/tests/test_library.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-POLICY = ROOT / "cranescale" / "choice.py"
+POLICY = ROOT / "olivecourse" / "choice.py"
 
 
 def test_readme_example_runs():
@@ -22,13 +22,13 @@
     lines = [line for line in POLICY.read_text().splitlines() if line.strip()]
     assert len(lines) <= 400
     assert max(map(len, lines)) <= 110
-    assert "cranescale/interface.py" in ast.get_docstring(ast.parse(POLICY.read_text())).splitlines()[0]
+    assert "olivecourse/interface.py" in ast.get_docstring(ast.parse(POLICY.read_text())).splitlines()[0]
 
 
 def test_other_files_hold_no_tuned_value():
     """Beyond unit conversions and wire syntax, no numbers and no literal defaults outside the policy."""
     for name in ("wirehost.py", "ring.py", "state.py"):
-        tree = ast.parse((ROOT / "cranescale" / name).read_text())
+        tree = ast.parse((ROOT / "olivecourse" / name).read_text())
         numbers = {n.value for n in ast.walk(tree) if isinstance(n, ast.Constant)
                    and type(n.value) in (int, float)}
         assert numbers <= {0, 1, 2, 16}, name
@@ -67,7 +67,7 @@
 
 
 def play(text, seed="0"):
-    done = subprocess.run([sys.executable, "-m", "cranescale.wirehost"], cwd=ROOT, input=text, text=True,
+    done = subprocess.run([sys.executable, "-m", "olivecourse.wirehost"], cwd=ROOT, input=text, text=True,
                           capture_output=True, env=os.environ | {"PYTHONHASHSEED": seed})
     assert done.returncode == 0, done.stderr
     return done.stdout
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -5,11 +5,11 @@
 
 from conftest import MS, S, fleet, make_settings, sends
 
-from cranescale import interface as w
-from cranescale.choice import choose_t
-from cranescale.ring import Ring, rendezvous
-from cranescale.sketch import HyperLogLog, LossyCounter, max_balls
-from cranescale.state import Node
+from olivecourse import interface as w
+from olivecourse.choice import choose_t
+from olivecourse.ring import Ring, rendezvous
+from olivecourse.sketch import HyperLogLog, LossyCounter, max_balls
+from olivecourse.state import Node
 
 
 def test_lossy_counter_keeps_its_guarantees():
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,7 +3,7 @@
 import pytest
 from conftest import MS, ORIGIN, PARENTS, S, finals, fleet, make_class, member, sends
 
-from cranescale import interface as w
+from olivecourse import interface as w
 
 
 def timers(acts):
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -5,9 +5,9 @@
 import pytest
 from test_library import CONF, LIST
 
-from cranescale import interface as w
-from cranescale import wirehost
-from cranescale.wirehost import read_settings, serve
+from olivecourse import interface as w
+from olivecourse import wirehost
+from olivecourse.wirehost import read_settings, serve
 
 
 def run(*lines):
