--- a/olivecourse/choice.py
+++ b/olivecourse/choice.py
@@ -393,13 +393,13 @@
             self.purges = {k: p for k, p in self.purges.items() if p[1] > self.now}
         if self.now >= self.ask_at:
             self.acts.append(w.Subscribe(True))
-            self.ask_at = self.now + ASK_AGAIN_NS
+            self.ask_at = float(self.now + ASK_AGAIN_NS)
         for sent, held, _, source in self.attempts.values():
             if source is not None and held.ask.size_kb and not held.overdue and self.now - sent > held.aim:
                 held.overdue = True  # a slow source is seen while attempts hang; untold sizes mislead here
                 self._hurt(source, 1.0, GAIN)
         # A cache that answers nothing at all while several wait is silent: call its attempts off.
-        quiet = max([0, *map(lambda c, s: c.aim_ns + c.aim_stretch * s, self.s.classes, self.size_ns)])
+        quiet = max([0.0, *map(lambda c, s: c.aim_ns + c.aim_stretch * s, self.s.classes, self.size_ns)])
         for node in self.caches:
             late = [k for k, sent in node.out.items() if self.now - max(sent, node.heard) > quiet]
             if len(late) > 1:
--- a/olivecourse/core/ledger.py
+++ b/olivecourse/core/ledger.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import Any, Protocol
 
 from olivecourse import interface as w
 
@@ -53,7 +53,7 @@
     """More open requests than the gateway has memory for."""
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(eq=False)
 class Entry:
     ask: w.Request
     cls: w.RequestClass
@@ -68,7 +68,7 @@
     guard: Cancellable | None = None
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(eq=False)
 class Attempt:
     entry: Entry
     number: int
@@ -78,7 +78,7 @@
     ended: bool = False
     went: bool = False  # whether a byte of it may have left; set by the carrier
     timer: Cancellable | None = None
-    place: object = None  # the carrier's own note of where the attempt is
+    place: Any = None  # the carrier's own note of where the attempt is
 
     @property
     def source(self) -> int | None:
--- a/olivecourse/fronts/thrift.py
+++ b/olivecourse/fronts/thrift.py
@@ -7,102 +7,39 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
-from thrift.Thrift import TApplicationException, TMessageType, TType
-from thrift.transport.TTransport import TMemoryBuffer
+from thrift.Thrift import TApplicationException, TMessageType
 
 from olivecourse import interface as w
 from olivecourse.core.ledger import Crowded, Duplicate
+from olivecourse.fronts.codec import (
+    METHODS,
+    MOST_FRAME,
+    Answer,
+    Fault,
+    ForgetArgs,
+    IsWellArgs,
+    Refusal,
+    Result,
+    ServeArgs,
+    Struct,
+    decode,
+    encode,
+)
 from olivecourse.net.loop import READ, Loop
 from olivecourse.net.stream import Address, Stream, listen
 
 MS = 1_000_000
-MOST_FRAME = 64 * 1024  # a write carries at most 48,000 bytes, and the fields are short
 MOST_WRITE = 48_000
 MOST_OPEN = 32
 MOST_OUT = 8 * 2**20  # 32 of the largest answers, unread
 WAY_NS = 15 * MS  # a client's patience runs from when it sent; its request takes up to this to arrive
 ID = re.compile(r"[0-9a-f]{16}")
-_MAP = (TType.STRING, "UTF8", TType.STRING, "UTF8", False)
-
-
-class _Struct:
-    thrift_spec: Any = ()
-
-    def __init__(self, **values: Any) -> None:
-        for spec in self.thrift_spec:
-            if spec:
-                setattr(self, spec[2], values.get(spec[2]))
-
-
-class ServeArgs(_Struct):
-    fields: dict[str, str] | None
-    body: bytes | None
-    thrift_spec = (None, (1, TType.MAP, "fields", _MAP, None), (2, TType.STRING, "body", "BINARY", None))
-
-
-class ForgetArgs(_Struct):
-    seqid: int | None
-    thrift_spec = (None, (1, TType.I32, "seqid", None, None))
-
-
-class IsWellArgs(_Struct):
-    thrift_spec = (None, (1, TType.BOOL, "unused", None, None))
-
-
-class Answer(_Struct):
-    thrift_spec = (None, (1, TType.STRING, "body", "BINARY", None), (2, TType.MAP, "fields", _MAP, None),
-                   (3, TType.BOOL, "good", None, None))
-
-
-class Refusal(_Struct):
-    """Both exceptions, Backoff and Lost, have this form."""
-
-    thrift_spec = (None, (1, TType.MAP, "fields", _MAP, None))
-
-
-class Result(_Struct):
-    thrift_spec = ((0, TType.STRUCT, "success", [Answer, Answer.thrift_spec], None),
-                   (1, TType.STRUCT, "refused", [Refusal, Refusal.thrift_spec], None),
-                   (2, TType.STRUCT, "failed", [Refusal, Refusal.thrift_spec], None))
 
 
 class BadRequest(ValueError):
     """Fields that make no request."""
 
 
-class Fault(_Struct):
-    """An application exception."""
-
-    thrift_spec = (None, (1, TType.STRING, "message", "UTF8", None), (2, TType.I32, "type", None, None))
-
-
-def encode(name: str, kind: int, number: int, value: _Struct) -> bytes:
-    """A whole frame."""
-    buffer = TMemoryBuffer()
-    protocol = TBinaryProtocolAccelerated(buffer)
-    protocol.writeMessageBegin(name, kind, number)
-    buffer.write(protocol._fast_encode(value, [type(value), value.thrift_spec]))
-    data: bytes = buffer.getvalue()
-    return len(data).to_bytes(4, "big") + data
-
-
-def decode(frame: bytes, kinds: dict[str, type[_Struct]]) -> tuple[str, int, int, _Struct | None]:
-    """The method, message type, number and arguments; None for a method that is not known."""
-    # The limits guard against a few hostile bytes that announce gigabytes.
-    protocol = TBinaryProtocolAccelerated(TMemoryBuffer(frame), string_length_limit=MOST_FRAME,
-                                          container_length_limit=64)
-    name, kind, number = protocol.readMessageBegin()
-    if name not in kinds:
-        return str(name), kind, number, None
-    value = kinds[name]()
-    protocol._fast_decode(value, protocol, [kinds[name], value.thrift_spec])
-    return name, kind, number, value
-
-
-METHODS: dict[str, type[_Struct]] = {"serve": ServeArgs, "forget": ForgetArgs, "isWell": IsWellArgs}
-
-
 class Taker(Protocol):
     """The core, as fronts see it."""
 
@@ -192,7 +129,7 @@
         self.front.log("client_bad_frame", why=why)
         self.close("bad frame")
 
-    def _call(self, name: str, kind: int, number: int, args: _Struct | None) -> None:
+    def _call(self, name: str, kind: int, number: int, args: Struct | None) -> None:
         if kind not in (TMessageType.CALL, TMessageType.ONEWAY):
             self._bad(f"message type {kind}")
         elif isinstance(args, ForgetArgs):
--- a/olivecourse/net/ringbuf.py
+++ b/olivecourse/net/ringbuf.py
@@ -50,7 +50,7 @@
         self._size += len(data)
 
     def receive(self, sock: socket.socket) -> int:
-        """Reads once from the socket; 0 means the other side closed."""
+        """Reads once from the socket: 0 means closed, a negative count that no more is there."""
         if len(self._data) - self._size < FIRST // 2 and len(self._data) < self.limit:
             self._grow(min(2 * len(self._data), self.limit))
         if self._size == len(self._data):
@@ -58,9 +58,10 @@
         start = (self._head + self._size) % len(self._data)
         end = self._head if start < self._head else len(self._data)
         with memoryview(self._data) as view, view[start:end] as part:
+            room = len(part)
             got = sock.recv_into(part)
         self._size += got
-        return got
+        return got if got == room else -got
 
     def send(self, sock: socket.socket) -> int:
         """Writes once to the socket what it takes."""
--- a/olivecourse/net/stores.py
+++ b/olivecourse/net/stores.py
@@ -25,7 +25,7 @@
         (w.How.RENEW, "freshen"))
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(frozen=True)
 class Limits:
     """What the settings and the descriptor limit allow."""
 
--- a/olivecourse/net/stream.py
+++ b/olivecourse/net/stream.py
@@ -93,7 +93,8 @@
                 self.close("closed by the other side")
                 return
             self.received()
-            if not self.open:
+            # A short read emptied the socket: asking again would only cost a call and an exception.
+            if got < 0 or not self.open:
                 return
 
     def write(self, data: bytes) -> None:
