--- a/build_native.py
+++ b/build_native.py
@@ -17,7 +17,8 @@
 TARGET, WORK = ROOT / ".native", ROOT / ".native.new"
 # Where the time goes. The rest is small, or holds what mypyc does not take (slotted dataclasses).
 HOT = ("choice", "ring", "notices", "gateway", "core/ledger", "core/planner", "net/loop", "net/wheel",
-       "net/ringbuf", "net/stream", "net/stores", "net/board", "net/peers", "fronts/thrift")
+       "net/ringbuf", "net/stream", "net/stores", "net/board", "net/peers", "fronts/thrift",
+       "fronts/listener")
 
 
 def digest() -> str:
@@ -37,7 +38,7 @@
     from mypyc.build import mypycify
     from setuptools import setup
 
-    Path("mypy.ini").write_text("[mypy]\n[mypy-thrift.*]\nignore_missing_imports = True\n")
+    Path("mypy.ini").write_text("[mypy]\n[mypy-thrift.*,re2]\nignore_missing_imports = True\n")
     setup(name="olivecourse-native", packages=[], script_args=["-q", "build_ext", "--inplace"],
           ext_modules=mypycify([f"olivecourse/{name}.py" for name in HOT], opt_level="2", debug_level="0"))
 
--- a/olivecourse/cli.py
+++ b/olivecourse/cli.py
@@ -3,22 +3,25 @@
 from __future__ import annotations
 
 import os
+import secrets
 import signal
 import socket
 import sys
+import time
+from dataclasses import replace
 from importlib import metadata
 
 import click
 
 from olivecourse import logs
-from olivecourse.config import BadConfig, Config, load_config
+from olivecourse.config import BadConfig, Config, load_config, load_operator
 
 VERSION = "0.2.0"
 
 
-def _load(path: str | None) -> Config:
+def _load(path: str | None, operator: str | None) -> Config:
     try:
-        return load_config(os.environ, path)
+        return load_operator(operator, os.environ) if operator else load_config(os.environ, path)
     except BadConfig as error:
         click.echo(f"olivecourse: {error}", err=True)
         sys.exit(2)
@@ -32,18 +35,31 @@
         context.invoke(serve)
 
 
+CONFIG = click.option("--config", "path", type=click.Path(), help="JSON as in EDGE_CONFIG, in its place.")
+OPERATOR = click.option("--operator", type=click.Path(), help="An operator's file (YAML) instead.")
+
+
 @main.command()
-@click.option("--config", "path", type=click.Path(), help="JSON as in EDGE_CONFIG, in its place.")
-def serve(path: str | None = None) -> None:
-    """Run one gateway until SIGTERM."""
-    config = _load(path)
+@CONFIG
+@OPERATOR
+@click.option("--role", type=click.Choice(["gateway", "forwarder", "planner"]), default="gateway",
+              help="gateway: both in one process; the others need `planner` in the operator's file.")
+def serve(path: str | None = None, operator: str | None = None, role: str = "gateway") -> None:
+    """Run one gateway, or one of its two halves, until SIGTERM."""
+    config = _load(path, operator)
     logs.set_up()
     from olivecourse.gateway import Gateway  # only here: the other commands start faster without it
+    from olivecourse.service import PlannerService
 
     log = logs.logger(gateway=config.name)
     try:
-        gateway = Gateway(config, log)
-    except OSError as error:
+        if role != "gateway" and config.planner is None:
+            raise ValueError("the operator's file names no planner socket")
+        if role == "planner":
+            gateway: Gateway | PlannerService = PlannerService(config, log)
+        else:
+            gateway = Gateway(config if role == "forwarder" else replace(config, planner=None), log)
+    except (OSError, ValueError) as error:
         click.echo(f"olivecourse: cannot start: {error}", err=True)
         sys.exit(2)
     # The signal only wakes the loop: a handler that did more could run in the midst of a decision.
@@ -66,13 +82,41 @@
 def version() -> None:
     """Print the versions of the program and of the libraries it stands on."""
     click.echo(f"olivecourse {VERSION}")
-    for name in ("thrift", "httptools", "structlog", "click"):
+    for name in ("thrift", "httptools", "structlog", "click", "PyJWT", "cryptography"):
         click.echo(f"{name} {metadata.version(name)}")
 
 
 @main.command("check-config")
-@click.option("--config", "path", type=click.Path(), help="JSON as in EDGE_CONFIG, in its place.")
-def check_config(path: str | None) -> None:
+@CONFIG
+@OPERATOR
+def check_config(path: str | None, operator: str | None) -> None:
     """Read the configuration and say what is wrong with it, if anything."""
-    config = _load(path)
+    config = _load(path, operator)
     click.echo(f"{config.name}: {len(config.settings.classes)} classes, {len(config.notices)} notices, good")
+
+
+@main.command()
+@click.argument("uri")
+@click.option("--keys", required=True, type=click.Path(), help="The key file.")
+@click.option("--kid", required=True, help="The key to sign with.")
+@click.option("--ttl", default=300, show_default=True, type=click.IntRange(1), help="Seconds it lives.")
+@click.option("--container", help="hash:... or regex:..., in place of the hash of URI.")
+@click.option("--order", "gateway", help="A Bearer token for one order, for the gateway of this name.")
+def sign(uri: str, keys: str, kid: str, ttl: int, container: str | None, gateway: str | None) -> None:
+    """Sign the link URI, or issue an order token for it, and print it."""
+    from olivecourse.fronts import tokens
+
+    try:
+        known = tokens.read_keys(keys)
+    except tokens.BadKeys as error:
+        click.echo(f"olivecourse: {error}", err=True)
+        sys.exit(2)
+    if kid not in known:
+        click.echo(f"olivecourse: {keys}: no key {kid}", err=True)
+        sys.exit(2)
+    if gateway is not None:
+        click.echo(tokens.issue(known[kid], uri, ttl, time.time(), container=container, aud=gateway,
+                                jti=secrets.token_hex(16)))
+    else:
+        token = tokens.issue(known[kid], uri, ttl, time.time(), container=container)
+        click.echo(tokens.signed_uri(uri, token))
--- a/olivecourse/config.py
+++ b/olivecourse/config.py
@@ -4,11 +4,14 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
+import yaml
+
 from olivecourse import interface as w
+from olivecourse.inventory import BadInventory, read_inventory
 from olivecourse.net.stream import Address, parse_address
 from olivecourse.settings import Malformed, nested_pairs, read_settings
 
@@ -17,6 +20,15 @@
     """A configuration that the gateway can't start with."""
 
 
+@dataclass(frozen=True)
+class Signed:
+    """The second front: how clients name this gateway, where the keys are, how far clocks may differ."""
+
+    public: str
+    keys: str
+    leeway_s: float
+
+
 @dataclass(frozen=True)
 class Config:
     name: str
@@ -35,6 +47,9 @@
     peer_listen: Address | None = None
     peers: list[Address] = field(default_factory=list)
     peers_all: Address | None = None
+    signed: Signed | None = None
+    inventory: str | None = None
+    planner: str | None = None  # the socket of a planner in a process of its own
 
 
 def _address(raw: Mapping[str, Any], name: str) -> Address | None:
@@ -53,7 +68,7 @@
     nested = raw.get("settings")
     if not isinstance(nested, dict):
         raise BadConfig("settings: missing or no object")
-    listen = _address({"EDGE_LISTEN": env.get("EDGE_LISTEN") or raw.get("listen")}, "EDGE_LISTEN")
+    listen = _address({"listen": env.get("EDGE_LISTEN") or raw.get("listen")}, "listen")
     if listen is None:
         raise BadConfig("listen: missing, and EDGE_LISTEN is not set")
     try:
@@ -92,3 +107,40 @@
         return read_config(raw, env)
     except BadConfig as error:
         raise BadConfig(f"{path}: {error}") from None
+
+
+def load_operator(path: str, env: Mapping[str, str]) -> Config:
+    """An operator's file: YAML that names an inventory, the settings and, if wanted, the signed front."""
+    try:
+        raw = yaml.safe_load(Path(path).read_text("utf-8"))
+    except OSError as error:
+        raise BadConfig(f"{path}: {error.strerror}") from None
+    except (yaml.YAMLError, UnicodeDecodeError) as error:
+        mark = getattr(error, "problem_mark", None)
+        raise BadConfig(f"{path}:{mark.line + 1 if mark else 1}: not YAML") from None
+    if not isinstance(raw, dict):
+        raise BadConfig(f"{path}: not a mapping")
+    here = Path(path).parent
+    try:
+        if isinstance(raw.get("settings"), str):
+            raw["settings"] = json.loads((here / raw["settings"]).read_text("utf-8"))
+        config = read_config({"limits": {"sockets": raw.get("sockets", 1024)}, **raw}, env)
+        front = raw.get("signed")
+        if front is not None:
+            if not isinstance(front, dict) or not {"public", "keys"} <= set(front):
+                raise BadConfig("signed: public and keys are needed")
+            leeway = float(front.get("leeway_s", 3))
+            if not 0 <= leeway <= 60:
+                raise BadConfig("signed: leeway_s is 0 to 60 seconds")
+            front = Signed(str(front["public"]), str(here / front["keys"]), leeway)
+        if not raw.get("inventory"):
+            raise BadConfig("inventory: missing")
+        inventory = str(here / raw["inventory"])
+        notice = read_inventory(inventory, config.zones, config.kinds)
+        planner = raw.get("planner")
+        return replace(config, signed=front, inventory=inventory, notices=[notice, *config.notices],
+                       planner=str(here / planner) if planner else None)
+    except (BadConfig, BadInventory) as error:
+        raise BadConfig(f"{path}: {error}") from None
+    except (OSError, ValueError, TypeError) as error:
+        raise BadConfig(f"{path}: cannot read a value: {error}") from None
--- a/olivecourse/fronts/codec.py
+++ b/olivecourse/fronts/codec.py
@@ -72,7 +72,7 @@
 def decode(frame: bytes, kinds: dict[str, type[Struct]]) -> tuple[str, int, int, Struct | None]:
     """The method, message type, number and arguments; None for a method that is not known."""
     # The limits guard against a few hostile bytes that announce gigabytes.
-    protocol = TBinaryProtocolAccelerated(TMemoryBuffer(frame), string_length_limit=MOST_FRAME,
+    protocol = TBinaryProtocolAccelerated(TMemoryBuffer(frame), string_length_limit=max(len(frame), 1),
                                           container_length_limit=64)
     name, kind, number = protocol.readMessageBegin()
     if name not in kinds:
--- a/olivecourse/fronts/thrift.py
+++ b/olivecourse/fronts/thrift.py
@@ -5,7 +5,6 @@
 import re
 import socket
 from collections.abc import Callable
-from typing import Any, Protocol
 
 from thrift.Thrift import TApplicationException, TMessageType
 
@@ -25,8 +24,9 @@
     decode,
     encode,
 )
-from olivecourse.net.loop import READ, Loop
-from olivecourse.net.stream import Address, Stream, listen
+from olivecourse.fronts.listener import Listener, Taker
+from olivecourse.net.loop import Loop
+from olivecourse.net.stream import Address, Stream
 
 MS = 1_000_000
 MOST_WRITE = 48_000
@@ -40,14 +40,6 @@
     """Fields that make no request."""
 
 
-class Taker(Protocol):
-    """The core, as fronts see it."""
-
-    def take(self, ask: w.Request, body: bytes, holds: str | None, reply: Any) -> None: ...
-
-    def leave(self, request: str) -> None: ...
-
-
 def read_request(fields: dict[str, str] | None, body: bytes | None,
                  classes: dict[str, tuple[int, bool]]) -> tuple[w.Request, bytes, str | None]:
     """The module's request of a client's fields; raises BadRequest with a short reason."""
@@ -177,39 +169,11 @@
             self.front.core.leave(request)
 
 
-class ThriftFront:
+class ThriftFront(Listener):
     def __init__(self, loop: Loop, address: Address, core: Taker, classes: dict[str, tuple[int, bool]],
                  is_well: Callable[[], bool], wait_ns: int, most: int, log: Callable[..., None]) -> None:
-        self.loop, self.core, self.classes, self.is_well = loop, core, classes, is_well
-        self.wait_ns, self.log, self._most = wait_ns, log, most
-        self.clients: set[ThriftClient] = set()
-        self._sock = listen(address)
-        self.port: int = self._sock.getsockname()[1]
-        loop.watch(self._sock, READ, self._accept)
-
-    def _accept(self, mask: int) -> None:
-        for _ in range(64):
-            try:
-                sock, _ = self._sock.accept()
-            except (BlockingIOError, InterruptedError):
-                return
-            except OSError as error:  # out of descriptors, or the client left before we came
-                self.log("accept_failed", why=str(error))
-                return
-            if len(self.clients) >= self._most:
-                self.log("too_many_clients", clients=len(self.clients))
-                sock.close()
-                continue
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.clients.add(ThriftClient(self, sock))
-
-    def flushed(self) -> bool:
-        """Whether every answer has left."""
-        return not any(len(c.outbox) for c in self.clients)
-
-    def close(self) -> None:
-        self.loop.forget(self._sock)
-        self._sock.close()
-        for client in list(self.clients):
-            client.close("end")
+        self.is_well = is_well
+        super().__init__(loop, address, core, classes, wait_ns, most, log)
+
+    def client(self, sock: socket.socket) -> Stream:
+        return ThriftClient(self, sock)
--- a/olivecourse/gateway.py
+++ b/olivecourse/gateway.py
@@ -7,22 +7,30 @@
 from __future__ import annotations
 
 import gc
+import os
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from olivecourse import interface as w
 from olivecourse.config import Config
 from olivecourse.core.ledger import Ledger
 from olivecourse.core.planner import Planner
+from olivecourse.fronts.listener import Listener
 from olivecourse.fronts.thrift import ThriftFront
+from olivecourse.inventory import BadInventory, read_inventory
 from olivecourse.net.board import Board
 from olivecourse.net.loop import Loop
 from olivecourse.net.peers import Peers
+from olivecourse.net.seam import RemotePlanner
 from olivecourse.net.stores import Limits, Pool
 from olivecourse.net.wheel import Timer
 from olivecourse.notices import BadNotice, Directory
 
+if TYPE_CHECKING:
+    from olivecourse.fronts.tokens import Tokens
+
 MS = 1_000_000
+FILES_NS = 1_000 * MS  # between two looks at the operator's files
 LINGER_NS = 900 * MS  # after SIGTERM clients keep coming for 0.6 s; 0.7 s at least are asked for
 LONGEST_NS = 3_000 * MS  # what of the longest deadline counts before SIGKILL may come, plus 0.7 s
 STOP_MARGIN_NS = 500 * MS  # the last answers are out this long before SIGKILL may come
@@ -50,7 +58,7 @@
         s = config.settings
         self.directory = Directory(config.zones, config.kinds, loop.clock.from_unix_ms, loop.clock.now)
         self.ledger = Ledger(s, LoopTimers(loop), self.batch.append, log, most=4096)
-        self.planner = Planner(s, loop.clock.now(), log)
+        self.purges: dict[str | int, int] = {}
         limits = Limits(config.connect_ns, int(config.idle_ns * 0.8), config.streams, 24,
                         max(config.sockets // 2 - 32, 16))
         self.pool = Pool(loop, self.directory, self.ledger, limits, [c.name for c in s.classes], log)
@@ -59,14 +67,79 @@
         if config.peer_listen is not None:
             self.peers = Peers(loop, config.peer_listen, config.peers, config.peers_all,
                                self.batch.append, log)
-        self.carry_out(self.planner.start())
+        self.remote: RemotePlanner | None = None
+        self.local: Planner | None = None
+        if config.planner is None:
+            self.local = Planner(s, loop.clock.now(), log)
+            self.carry_out(self.local.start())
         self.told(config.notices, first=True)
+        if config.planner is not None:
+            self.batch.clear()  # told anew to every planner that is found
+            self.remote = RemotePlanner(loop, config.planner, self.carry_out, self.greet, self._alone, log)
         self.decide()
         self.board = None if config.board is None else Board(loop, config.board, config.rev, self.told, log)
+        self._inventory_seen = self._stamp(config.inventory)
+        self._keys_seen = self._stamp(config.signed.keys if config.signed else None)
+        self.tokens: Tokens | None = None
+        self.front: Listener = self._front()
+        if config.inventory is not None:
+            loop.after(FILES_NS, self._look_at_files)
+
+    def _front(self) -> Listener:
+        config, s = self.config, self.config.settings
         classes = {c.name: (i, c.write) for i, c in enumerate(s.classes)}
-        wait = s.max_retry_after_ns if s.retry_after else 0
-        self.front = ThriftFront(loop, config.listen, self.ledger, classes, lambda: not self.stopping, wait,
-                                 config.sockets // 3, log)
+        wait, most = (s.max_retry_after_ns if s.retry_after else 0), config.sockets // 3
+        if config.signed is None:
+            return ThriftFront(self.loop, config.listen, self.ledger, classes, lambda: not self.stopping,
+                               wait, most, self.log)
+        from olivecourse.fronts.signed import SignedFront  # only here: the platform's gateway needs neither
+        from olivecourse.fronts.tokens import Tokens, read_keys
+
+        self.tokens = Tokens(config.name, read_keys(config.signed.keys), config.signed.leeway_s)
+        return SignedFront(self.loop, config.listen, self.ledger, classes,
+                           [c.deadline_ns // MS for c in s.classes], self.tokens, config.signed.public,
+                           wait, most, self.log)
+
+    @staticmethod
+    def _stamp(path: str | None) -> int:
+        try:
+            return os.stat(path).st_mtime_ns if path else 0
+        except OSError:
+            return 0
+
+    def _look_at_files(self) -> None:
+        """Takes up a changed inventory or key file; one that can't be used changes nothing."""
+        signed, inventory = self.config.signed, self.config.inventory
+        try:
+            seen = self._stamp(inventory)
+            if inventory is not None and seen != self._inventory_seen:
+                self._inventory_seen = seen
+                self.told([read_inventory(inventory, self.config.zones, self.config.kinds)])
+                self.log("inventory_read", stores=len(self.directory.members))
+            seen = self._stamp(signed.keys if signed else None)
+            if signed is not None and self.tokens is not None and seen != self._keys_seen:
+                self._keys_seen = seen
+                from olivecourse.fronts.tokens import read_keys
+
+                self.tokens.keys = read_keys(signed.keys)
+                self.log("keys_read", keys=len(self.tokens.keys))
+        except (BadInventory, ValueError) as error:
+            self.log("file_unusable", why=str(error))
+        self.loop.after(FILES_NS, self._look_at_files)
+
+    def greet(self) -> None:
+        """A planner that has just been found knows nothing: tell it the stores and the purges that bind."""
+        now = self.loop.clock.now()
+        self.batch.append(w.CacheList(0, w.ListKind.HELD, tuple(self.directory.members.values())))
+        for key, at in self.purges.items():
+            news = w.Purged(key, None, now - at) if isinstance(key, str) else w.Purged(None, key, now - at)
+            self.batch.append(news)
+
+    def _alone(self) -> None:
+        """The planner is lost, and with it whatever it meant to do: every open request is answered now."""
+        self.batch.clear()
+        self.ledger.give_up_all("planner lost")
+        self.batch.clear()
 
     def told(self, notices: list[Any], first: bool = False) -> None:
         for notice in notices:
@@ -74,16 +147,27 @@
                 for event in self.directory.events(notice, first):
                     if isinstance(event, w.Purged):
                         self.ledger.purge(event)
+                        self._remember(event)
                     self.batch.append(event)
             except BadNotice as bad:
                 self.log("notice_unusable", why=str(bad))
 
+    def _remember(self, news: w.Purged) -> None:
+        key = news.group if news.object is None else news.object
+        now, settles = self.loop.clock.now(), self.config.settings.purge_settles_ns
+        if key is not None and self.config.planner is not None:
+            self.purges = {k: at for k, at in self.purges.items() if at > now - settles}
+            self.purges[key] = now - (news.age_ns or 0)
+
     def decide(self) -> None:
         """Until nothing new came of it: outcomes of the actions themselves go to the planner at once."""
         while self.batch:
             events = self.batch[:]
             self.batch.clear()
-            self.carry_out(self.planner.decide(events, self.loop.clock.now()))
+            if self.local is not None:
+                self.carry_out(self.local.decide(events, self.loop.clock.now()))
+            elif self.remote is None or not self.remote.send(events, self.loop.clock.now()):
+                self._alone()
 
     def carry_out(self, actions: list[w.Action]) -> None:
         for action in actions:
@@ -138,6 +222,8 @@
         self.front.close()
         if self.board is not None:
             self.board.stop()
+        if self.remote is not None:
+            self.remote.close()
         if self.peers is not None:
             self.peers.close()
         self.loop.close()
--- /dev/null
+++ b/olivecourse/inventory.py
@@ -0,0 +1,104 @@
+"""The stores as configuration tools keep them: a CSV or YAML file, checked line by line.
+
+Columns or keys: name, address, zone, kind; and size (1), cell (none), state (ready).
+"""
+
+from __future__ import annotations
+
+import csv
+import io
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import yaml
+
+from olivecourse.net.stream import parse_address
+
+NEEDED, MAY = ("name", "address", "zone", "kind"), ("size", "cell", "state")
+STATES = {"ready": "Ready", "draining": "Terminating", "gone": "Gone"}
+
+
+class BadInventory(Exception):
+    """An entry that can't be used; the text names the file and the line."""
+
+
+def read_inventory(path: str, zones: list[str], kinds: list[str]) -> dict[str, Any]:
+    """The inventory as a notice with the whole list, as the notice board would tell it."""
+    try:
+        text = Path(path).read_text("utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise BadInventory(f"{path}: {getattr(error, 'strerror', None) or 'not UTF-8'}") from None
+    rows = _yaml(path, text) if path.endswith((".yaml", ".yml")) else _csv(path, text)
+    members, names, addresses = [], dict[str, int](), dict[str, int]()
+    for line, row in rows:
+        member = _member(f"{path}:{line}", row, zones, kinds)
+        for what, seen in (("id", names), ("host_port", addresses)):
+            if member[what] in seen:
+                raise BadInventory(f"{path}:{line}: {member[what]} stands at "
+                                   f"line {seen[member[what]]} already")
+            seen[member[what]] = line
+        members.append(member)
+    if not members:
+        raise BadInventory(f"{path}: no store")
+    return {"rev": 0, "pool": {"revision": 0, "complete": True, "members": members}}
+
+
+def _csv(path: str, text: str) -> Iterator[tuple[int, dict[str, Any]]]:
+    reader = csv.DictReader(io.StringIO(text), strict=True)
+    try:
+        head = reader.fieldnames or []
+        if set(NEEDED) - set(head):
+            raise BadInventory(f"{path}:1: columns missing: {', '.join(sorted(set(NEEDED) - set(head)))}")
+        for row in reader:
+            if None in row or None in row.values():
+                raise BadInventory(f"{path}:{reader.line_num}: as many values as columns are needed")
+            yield reader.line_num, row
+    except csv.Error as error:
+        raise BadInventory(f"{path}:{reader.line_num}: {error}") from None
+
+
+def _yaml(path: str, text: str) -> Iterator[tuple[int, dict[str, Any]]]:
+    try:
+        root = yaml.compose(text, Loader=yaml.SafeLoader)
+        value = yaml.safe_load(text)
+    except yaml.MarkedYAMLError as error:
+        line = error.problem_mark.line + 1 if error.problem_mark else 1
+        raise BadInventory(f"{path}:{line}: {error.problem}") from None
+    except yaml.YAMLError as error:
+        raise BadInventory(f"{path}:1: {error}") from None
+    if not isinstance(root, yaml.SequenceNode):
+        raise BadInventory(f"{path}:1: a list of stores is needed")
+    for node, row in zip(root.value, value, strict=True):
+        line = node.start_mark.line + 1
+        if not isinstance(row, dict):
+            raise BadInventory(f"{path}:{line}: a store is a mapping")
+        yield line, row
+
+
+def _member(where: str, row: dict[str, Any], zones: list[str], kinds: list[str]) -> dict[str, Any]:
+    unknown = set(map(str, row)) - {*NEEDED, *MAY}
+    if unknown:
+        raise BadInventory(f"{where}: unknown: {', '.join(sorted(unknown))}")
+    text = {k: "" if v is None else str(v).strip() for k, v in row.items()}
+    for name in NEEDED:
+        if not text.get(name):
+            raise BadInventory(f"{where}: {name} is missing")
+    if not all(c.isalnum() or c in "-_." for c in text["name"]):
+        raise BadInventory(f"{where}: name {text['name']!r}: letters, digits, '-', '_' and '.' only")
+    for name, known in (("zone", zones), ("kind", kinds)):
+        if text[name] not in known:
+            raise BadInventory(f"{where}: {name} {text[name]!r} is none of {', '.join(known)}")
+    state = text.get("state") or "ready"
+    if state not in STATES:
+        raise BadInventory(f"{where}: state {state!r} is none of {', '.join(STATES)}")
+    try:
+        parse_address(text["address"])
+        size = float(text.get("size") or 1)
+        cell = int(text["cell"]) if text.get("cell") else None
+        if not 0 < size < 1e6:
+            raise ValueError(f"size {size} is out of range")
+    except ValueError as error:
+        raise BadInventory(f"{where}: {error}") from None
+    return {"id": text["name"], "host_port": text["address"], "locality": text["zone"],
+            "flavor": text["kind"], "cell": cell, "phase": STATES[state], "size": size, "up_since_ms": 0}
--- a/olivecourse/notices.py
+++ b/olivecourse/notices.py
@@ -35,6 +35,7 @@
         self.names: dict[int, str] = {}
         self.addresses: dict[int, Address] = {}
         self.states: dict[int, w.State] = {}
+        self.members: dict[int, w.Member] = {}
         self.started: dict[int, int] = {}
 
     def ready(self, cache: int) -> bool:
@@ -58,8 +59,10 @@
         if whole:  # what a whole list does not name has been removed
             for cache in set(self.states) - {m.cache for m in members}:
                 self.states[cache] = w.State.GONE
+            self.members.clear()
         for m in members:
             self.states[m.cache] = m.state
+            self.members[m.cache] = m
         kind = w.ListKind.HELD if first else w.ListKind.FULL if whole else w.ListKind.CHANGES
         return w.CacheList(int(pool.get("revision", 0)), kind, tuple(members))
 
--- /dev/null
+++ b/tests/stage.py
@@ -0,0 +1,192 @@
+"""A gateway in this process, and scripted stores, clients and a notice board on loopback sockets.
+
+Nothing here depends on speed: `until` turns the gateway's loop till a thing has come about.
+"""
+
+import json
+import socket
+import time
+
+from olivecourse import interface as w
+from olivecourse.config import read_config
+from olivecourse.fronts import codec
+from olivecourse.gateway import Gateway
+
+OBJECT, REQUEST = "7f3a9c21e0b4d655", "9b1f03aa5c7e2d41"
+S = 1_000_000_000
+PROFILES = [{"name": name, "on_time_ns": S // 2, "aim_stretch": 2.0, "deadline_ns": deadline, "worth": 1.0,
+             "effect": effect, "key_scope": "all", "memory_span_ns": 5 * S, "streamed": False}
+            for name, deadline, effect in (("fichiers", 6 * S, "idempotent"),
+                                           ("commande", 3 * S, "at_most_once"))]
+SETTINGS = {
+    "me": 0, "instances": 1, "az": 1, "zones": ["hub-nord", "edge-1"], "kinds": ["petit", "parent", "origin"],
+    "discovery": "push", "period_ns": 2_000_000, "weight_kind": "rough",
+    "family_info": {"zone_hub": [0, 0], "seats_by_zone": [0, 1], "mid_kind": 1, "source_kind": 2,
+                    "joins": True, "may_pass_by": False, "siblings": "location", "notes_given": "all",
+                    "client_kb_per_s": 5000.0, "max_age_ns": [0, 0], "grace_for_ns": [0, 0],
+                    "stale_earns": [0.7, 0.7], "never_kept": [False, True], "purge_grace_ns": 300_000_000,
+                    "purge_settles_ns": 6 * S, "parent_floor": 0.06, "parent_ramp_ns": 18 * S,
+                    "parent_limit_factor": 2.0},
+    "limits": {"cancel": True, "second_copies": True, "retry_after": True, "max_retry_after_ns": S,
+               "max_attempts": 8, "connect_timeout_ns": 300_000_000, "conn_idle_ns": 15 * S,
+               "streams_per_conn": 100, "peers": True},
+    "contract": {"grace_to_answer_ns": 8_000_000, "stop_sending_within_ns": 250_000_000, "cold_from": 0.16,
+                 "cold_ns": 15 * S, "tip_multiple": 2.5, "overload_for_ns": 3 * S},
+    "profiles": PROFILES}
+
+
+class Peer:
+    """A listening stand-in: what it accepted, and what came on it."""
+
+    def __init__(self, backlog=16):
+        self.sock = socket.create_server(("127.0.0.1", 0), backlog=backlog)
+        self.sock.setblocking(False)
+        self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
+        self.conns, self.data = [], bytearray()
+
+    def poll(self):
+        try:
+            conn, _ = self.sock.accept()
+            conn.setblocking(False)
+            self.conns.append(conn)
+        except BlockingIOError:
+            pass
+        for conn in self.conns:
+            self.data += drain(conn)
+        return bytes(self.data)
+
+    def line(self):
+        """The next whole line that came, taken; or None."""
+        self.poll()
+        line, end, rest = bytes(self.data).partition(b"\r\n")
+        if not end:
+            return None
+        self.data = bytearray(rest)
+        return line.decode() or self.line()
+
+    def say(self, data, conn=-1):
+        self.conns[conn].sendall(data)
+
+    def close(self):
+        for sock in (self.sock, *self.conns):
+            sock.close()
+
+
+def drain(sock):
+    data = b""
+    try:
+        while part := sock.recv(65536):
+            data += part
+    except (BlockingIOError, OSError):
+        pass
+    return data
+
+
+class Client:
+    """Speaks to the gateway; `data` holds what came back."""
+
+    def __init__(self, port):
+        self.sock = socket.create_connection(("127.0.0.1", port))
+        self.sock.setblocking(False)
+        self.data, self.closed = b"", False
+
+    def poll(self):
+        try:
+            while True:
+                part = self.sock.recv(65536)
+                if not part:
+                    self.closed = True
+                    return self.data
+                self.data += part
+        except BlockingIOError:
+            return self.data
+        except ConnectionError:
+            self.closed = True
+            return self.data
+
+    def call(self, number=1, method="serve", kind=1, args=None, body=b"", **fields):
+        fields = {"c": "fichiers", "i": REQUEST, "o": OBJECT, "d": "5000", "n": "0", "m": "41.5",
+                  "shard": "17", **fields}
+        args = args or codec.ServeArgs(fields=fields, body=body)
+        self.sock.sendall(codec.encode(method, kind, number, args))
+
+    def answers(self):
+        """(number, kind of result, its fields, its body) of each whole frame so far."""
+        data, found = self.poll(), []
+        while len(data) >= 4 and len(data) >= 4 + (size := int.from_bytes(data[:4], "big")):
+            frame, data = data[4:4 + size], data[4 + size:]
+            kinds = {"serve": codec.Result, "isWell": codec.Result}
+            name, kind, number, result = codec.decode(frame, kinds)
+            if kind == 3:
+                found.append((number, "fault", {}, b""))
+                continue
+            which = next(n for n in ("success", "refused", "failed") if getattr(result, n) is not None)
+            value = getattr(result, which)
+            found.append((number, which, value.fields, getattr(value, "body", b"")))
+        return found
+
+
+def member(name, address, kind="petit", zone="edge-1", phase="Ready", **more):
+    return {"id": name, "host_port": address, "locality": zone, "flavor": kind, "cell": 0, "phase": phase,
+            "size": 8, "up_since_ms": 0, **more}
+
+
+class Stage:
+    """The gateway with one cache, one parent and the origin as scripted peers."""
+
+    def __init__(self, board=False, **more):
+        self.cache, self.parent, self.origin = Peer(), Peer(), Peer()
+        self.board = Peer() if board else None
+        self.logged, self.peers = [], [self.cache, self.parent, self.origin]
+        members = [member("s-00000001", self.cache.address),
+                   member("s-00000008", self.parent.address, "parent", "hub-nord"),
+                   member("s-00000009", self.origin.address, "origin", "hub-nord")]
+        raw = {"name": "n0", "listen": "127.0.0.1:0", "seed": "05", "settings": SETTINGS,
+               "known": {"rev": 1, "notices": [
+                   {"rev": 1, "pool": {"revision": 1, "complete": True, "members": members}}]}, **more}
+        if self.board:
+            raw["board"] = self.board.address
+            self.peers.append(self.board)
+        self.gateway = Gateway(self.config(raw), lambda event, **v: self.logged.append((event, v)))
+        self.clients = []
+
+    def config(self, raw):
+        return read_config(raw, {})
+
+    def turn(self):
+        self.gateway.loop.turn(5_000_000)
+        self.gateway.decide()
+
+    def until(self, what, seconds=20):
+        """Turns till `what` gives something true, which it returns."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self.turn()
+            if found := what():
+                return found
+        raise AssertionError(f"did not come about; logged: {self.logged}")
+
+    def client(self):
+        self.clients.append(Client(self.gateway.front.port))
+        return self.clients[-1]
+
+    def tell(self, rev, **notice):
+        """The board answers the poll that is open."""
+        body = json.dumps({"rev": rev, "notices": [{"rev": rev, **notice}]}).encode()
+        self.board.data.clear()
+        self.board.say(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+
+    def names(self):
+        return [event for event, _ in self.logged]
+
+    def close(self):
+        self.gateway.front.close()
+        for thing in (*self.peers, *(c.sock for c in self.clients)):
+            thing.close()
+        if self.gateway.board is not None:
+            self.gateway.board.stop()
+        self.gateway.loop.close()
+
+
+def outcome(stage, status):
+    return any(isinstance(e, w.AttemptEnded) and e.status is status for e in stage.gateway.batch)
--- /dev/null
+++ b/tests/test_signed.py
@@ -0,0 +1,264 @@
+"""The signed front: forged, expired, early, altered, skewed, replayed and valid links, and order tokens."""
+
+import json
+import time
+
+import jwt
+import pytest
+from stage import OBJECT, SETTINGS, Client, Stage
+
+from olivecourse.config import BadConfig, load_operator
+from olivecourse.fronts import tokens
+
+PUBLIC = "https://calendriers.example"
+PATH = f"/fichiers/{OBJECT}/0?shard=17&kb=41.5"
+ORDER = f"/commande/{OBJECT}/0?shard=17"
+
+
+def jwk(kid, secret=b"0123456789abcdef0123456789abcdef", **more):
+    key = jwt.utils.base64url_encode(secret).decode()
+    return {"kty": "oct", "kid": kid, "alg": "HS256", "k": key, **more}
+
+
+class SignedStage(Stage):
+    """The same gateway behind the signed front, its stores from a CSV inventory."""
+
+    def __init__(self, folder, **more):
+        self.folder = folder
+        super().__init__(**more)
+        self.tokens = self.gateway.tokens
+        self.key = self.tokens.keys["k1"]
+
+    def config(self, raw):
+        members = raw["known"]["notices"][0]["pool"]["members"]
+        rows = [f"{m['id']},{m['host_port']},{m['locality']},{m['flavor']},8" for m in members]
+        (self.folder / "stores.csv").write_text("\n".join(["name,address,zone,kind,size", *rows]) + "\n")
+        (self.folder / "keys.json").write_text(json.dumps({"union": {"keys": [jwk("k1"), jwk("k2")]}}))
+        (self.folder / "settings.json").write_text(json.dumps(SETTINGS))
+        (self.folder / "operator.yaml").write_text(
+            "name: n0\nlisten: 127.0.0.1:0\nseed: '05'\ninventory: stores.csv\nsettings: settings.json\n"
+            f"signed: {{public: '{PUBLIC}', keys: keys.json, leeway_s: 3}}\n")
+        return load_operator(str(self.folder / "operator.yaml"), {})
+
+    def link(self, path=PATH, ttl=60, **more):
+        token = tokens.issue(self.key, PUBLIC + path, ttl, more.pop("now", time.time()), **more)
+        return tokens.signed_uri(path, token)
+
+    def order(self, **more):
+        claims = {"aud": "n0", "jti": "abcdefgh1234", **more}
+        ttl, now = claims.pop("ttl", 60), claims.pop("now", time.time() + 4)
+        return tokens.issue(self.key, PUBLIC + ORDER, ttl, now, **claims)
+
+    def ask(self, target, method="GET", body=b"", **headers):
+        self.clients.append(Client(self.gateway.front.port))
+        head = "".join(f"{k.replace('_', '-')}: {v}\r\n" for k, v in headers.items())
+        self.clients[-1].sock.sendall(f"{method} {target} HTTP/1.1\r\nHost: x\r\n{head}"
+                                      f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        return self.clients[-1]
+
+    def status(self, client):
+        data = self.until(lambda: b"\r\n\r\n" in client.poll() and client.data)
+        return int(data.split(b" ")[1])
+
+    def serve(self, word="data", body=b"hi"):
+        request = self.until(self.cache.line).split(" ")[1]
+        self.cache.say(f"{request} {word} version=v1,n=HIT {len(body)}\r\n".encode() + body + b"\r\n")
+
+
+@pytest.fixture
+def stage(tmp_path):
+    made = SignedStage(tmp_path)
+    yield made
+    made.close()
+
+
+def test_a_valid_link_is_served_and_the_copy_can_be_confirmed(stage):
+    client = stage.ask(stage.link())
+    stage.serve(body=b"calendar")
+    assert stage.status(client) == 200 and client.data.endswith(b"\r\n\r\ncalendar")
+    assert b'ETag: "v1"' in client.data
+    client = stage.ask(stage.link(), If_None_Match='"v1"')
+    line = stage.until(stage.cache.line)
+    assert "holds=v1" in line
+    stage.cache.say(f"{line.split(' ')[1]} unchanged version=v1,n=HIT 0\r\n\r\n".encode())
+    assert stage.status(client) == 304
+
+
+def test_links_that_do_not_open_the_request_are_turned_away(stage):
+    now, good = time.time(), stage.link()
+    package = f"{tokens.PACKAGE}="
+    token = good.split(package)[1]
+    head, claims, signature = token.split(".")
+    flipped = ("A" if signature[5] != "A" else "B").join((signature[:5], signature[6:]))
+    stranger = tokens.Key("union", "k1", "HS256", b"another key, another key, another")
+    other = tokens.Key("somebody", "k2", "HS256", stage.key.key)
+    bad = {
+        "no token": (PATH, 401),
+        "forged": (tokens.signed_uri(PATH, tokens.issue(stranger, PUBLIC + PATH, 60, now)), 403),
+        "altered signature": (good.replace(signature, flipped), 403),
+        "altered claims": (good.replace(claims, jwt.utils.base64url_encode(b'{"iss":"x"}').decode()), 403),
+        "altered target": (good.replace("shard=17", "shard=18"), 403),
+        "unsigned": (tokens.signed_uri(PATH, jwt.encode({"iss": "union", "exp": now + 60}, None, "none",
+                                                        {"kid": "k1"})), 403),
+        "wrong issuer": (tokens.signed_uri(PATH, tokens.issue(other, PUBLIC + PATH, 60, now)), 403),
+        "expired": (stage.link(now=now - 70), 403),
+        "early": (stage.link(not_before=now + 30), 403),
+        "for another object": (stage.link(container="regex:https://[^/]*/pages/.*"), 403),
+        "unknown critical claim": (stage.link(cdnicrit="cdnix"), 403),
+        "two packages": (f"{good}&{package}{token}", 403),
+        "no json": (f"{PATH}&{package}a.b.c", 403),
+    }
+    for what, (target, status) in bad.items():
+        assert stage.status(stage.ask(target)) == status, what
+    assert stage.cache.line() is None and stage.gateway.ledger.open == 0
+    assert not any(part in str(stage.logged) for part in (claims, signature))
+
+
+def test_a_clock_a_few_seconds_off_is_within_the_leeway(stage):
+    now = time.time()
+    for link in (stage.link(now=now + 2.5), stage.link(now=now - 61.5), stage.link(not_before=now + 2)):
+        client = stage.ask(link)
+        stage.serve()
+        assert stage.status(client) == 200
+
+
+def test_a_container_in_the_regex_form_opens_what_it_holds_and_no_more(stage):
+    link = stage.link(container=r"regex:https://calendriers\.example/fichiers/[[:xdigit:]]{16}/[0-9]+\?shard=17")
+    token = link.split(f"{tokens.PACKAGE}=")[1]
+    client = stage.ask(tokens.signed_uri(f"/fichiers/{OBJECT}/4?shard=17", token))
+    stage.serve()
+    assert stage.status(client) == 200
+    assert stage.status(stage.ask(tokens.signed_uri(f"/fichiers/{OBJECT}/4?shard=17&kb=1", token))) == 403
+
+
+def test_expiry_while_a_fill_runs_does_not_cut_that_answer(stage):
+    clock = [time.time()]
+    stage.tokens._clock = lambda: clock[0]
+    link = stage.link(ttl=10)
+    client = stage.ask(link)
+    request = stage.until(stage.cache.line).split(" ")[1]
+    clock[0] += 14  # past the expiry and the leeway
+    stage.cache.say(f"{request} data version=v1,n=MISS 2\r\nhi\r\n".encode())
+    assert stage.status(client) == 200
+    assert stage.status(stage.ask(link)) == 403
+
+
+def test_a_key_that_was_rotated_out_opens_nothing_any_more(stage):
+    link = stage.link()
+    keys = stage.folder / "keys.json"
+    keys.write_text(json.dumps({"union": {"keys": [jwk("k2"), jwk("k3")]}}))
+    stage.gateway._keys_seen = 0
+    stage.until(lambda: "keys_read" in stage.names())
+    assert stage.status(stage.ask(link)) == 403
+    keys.write_text("{")
+    stage.gateway._keys_seen = 0
+    stage.until(lambda: "file_unusable" in stage.names())
+    assert set(stage.tokens.keys) == {"k2", "k3"}
+
+
+def test_an_order_runs_once_for_its_token(stage):
+    stage.tokens._clock = lambda: time.time() + 5
+    token = stage.order()
+    client = stage.ask(ORDER, "POST", b"a dozen", Authorization=f"Bearer {token}")
+    request = stage.until(lambda: (line := stage.cache.line()) and line.split(" ")[1])
+    # Shown again while it runs, and after it ran.
+    assert stage.status(stage.ask(ORDER, "POST", b"again", Authorization=f"Bearer {token}")) == 401
+    stage.cache.say(f"{request} data n=MISS_ORIGIN 2\r\nok\r\n".encode())
+    assert stage.status(client) == 200
+    assert stage.status(stage.ask(ORDER, "POST", b"again", Authorization=f"Bearer {token}")) == 401
+    assert b"again" not in stage.cache.poll()
+
+
+def test_order_tokens_that_could_run_an_order_twice_are_turned_away(stage):
+    later = time.time() + 5
+    stage.tokens._clock = lambda: later
+    for what, more, status in (
+            ("another gateway", {"aud": "n1"}, 403), ("several", {"aud": ["n0", "n1"]}, 401),
+            ("before the start", {"now": time.time() - 1}, 401), ("no id", {"jti": 5}, 401),
+            ("a long life", {"ttl": 86_400}, 401), ("a link's", {"container": "hash:x"}, 403)):
+        answer = stage.status(stage.ask(ORDER, "POST", b"x", Authorization=f"Bearer {stage.order(**more)}"))
+        assert answer == status, what
+    assert stage.status(stage.ask(ORDER, "POST", b"x")) == 401
+    link = tokens.signed_uri(ORDER, tokens.issue(stage.key, PUBLIC + ORDER, 60, time.time()))
+    assert stage.status(stage.ask(link, "POST", b"x")) == 401
+
+
+def test_a_refused_order_may_come_back_with_its_token(stage):
+    stage.tokens._clock = lambda: time.time() + 5
+    token = stage.order()
+    stage.cache.sock.close()  # nothing can run
+    client = stage.ask(ORDER, "POST", b"x", Authorization=f"Bearer {token}")
+    assert stage.status(client) == 503 and b"Retry-After: 1\r\n" in client.data
+    assert stage.status(stage.ask(ORDER, "POST", b"x", Authorization=f"Bearer {token}")) == 503
+
+
+def test_an_order_whose_fate_is_unknown_fails_and_its_token_is_spent(stage):
+    stage.tokens._clock = lambda: time.time() + 5
+    token = stage.order()
+    client = stage.ask(ORDER, "POST", b"x", Authorization=f"Bearer {token}")
+    stage.until(stage.cache.line)
+    stage.cache.conns.pop().close()
+    assert stage.status(client) == 502
+    assert stage.status(stage.ask(ORDER, "POST", b"x", Authorization=f"Bearer {token}")) == 401
+
+
+def test_a_read_out_of_time_is_refused_and_an_order_out_of_time_is_a_504(stage):
+    client = stage.ask(stage.link(), Request_Timeout_Ms="100")
+    assert stage.status(client) == 503
+    stage.tokens._clock = lambda: time.time() + 5
+    client = stage.ask(ORDER, "POST", b"x", Authorization=f"Bearer {stage.order()}", Request_Timeout_Ms="100")
+    assert stage.status(client) == 504
+
+
+def test_a_client_that_hangs_up_forgets_its_request(stage):
+    client = stage.ask(stage.link())
+    request = stage.until(stage.cache.line).split(" ")[1]
+    client.sock.close()
+    assert stage.until(stage.cache.line) == f"abort {request}"
+
+
+@pytest.mark.parametrize("head", [
+    "GARBAGE\r\n\r\n", "GET /fichiers HTTP/1.1\r\n\r\n", f"GET /nosuch/{OBJECT}/0?shard=1 HTTP/1.1\r\n\r\n",
+    f"GET /fichiers/{OBJECT}/0 HTTP/1.1\r\n\r\n", f"POST {PATH} HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
+    f"GET {PATH} HTTP/1.1\r\nAuthorization: Bearer a\r\nAuthorization: Bearer b\r\n\r\n",
+    f"GET /{'x' * 20_000} HTTP/1.1\r\n\r\n",
+    "GET /a?" + "&".join("abcdefghijklmnopqrst") + " HTTP/1.1\r\n\r\n",
+    "GET //x/y HTTP/1.1\r\n\r\n"])
+def test_malformed_requests_get_a_400(stage, head):
+    stage.clients.append(Client(stage.gateway.front.port))
+    stage.clients[-1].sock.sendall(head.encode())
+    assert stage.status(stage.clients[-1]) == 400
+
+
+def test_requests_on_one_connection_are_answered_in_order(stage):
+    client = stage.ask(stage.link())
+    client.sock.sendall(f"GET {stage.link()} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+    stage.serve(body=b"one")
+    stage.serve(body=b"two")
+    stage.until(lambda: client.poll().count(b"HTTP/1.1 200") == 2)
+    assert client.data.index(b"one") < client.data.index(b"two")
+
+
+def test_a_store_taken_off_the_inventory_gets_nothing_more(stage):
+    path = stage.folder / "stores.csv"
+    path.write_text("".join(x for x in path.read_text().splitlines(True) if "s-00000001" not in x))
+    stage.gateway._inventory_seen = 0
+    stage.until(lambda: "inventory_read" in stage.names())
+    assert stage.status(stage.ask(stage.link())) == 503
+    assert stage.cache.line() is None
+
+
+@pytest.mark.parametrize(("text", "said"), [
+    ("name: n0\n  listen: x", "operator.yaml:2"), ("- a", "not a mapping"), ("settings: {}\nlisten: nowhere", "listen: not an address"),
+    ("listen: 127.0.0.1:0\nsettings: none.json", "cannot read"),
+    ("listen: 127.0.0.1:0\nsettings: {zones: [a]}", "no class"),
+    ("listen: 127.0.0.1:0\nsettings: settings.json", "inventory: missing"),
+    ("listen: 127.0.0.1:0\nsettings: settings.json\nsigned: {public: x}\ninventory: stores.csv", "keys")])
+def test_a_bad_operators_file_is_told_in_one_line(tmp_path, text, said):
+    (tmp_path / "settings.json").write_text(json.dumps(SETTINGS))
+    (tmp_path / "operator.yaml").write_text(text)
+    with pytest.raises(BadConfig) as error:
+        load_operator(str(tmp_path / "operator.yaml"), {})
+    assert said in str(error.value) and "\n" not in str(error.value)
+
+
--- /dev/null
+++ b/tests/test_stories.py
@@ -0,0 +1,243 @@
+"""Stories of the platform's gateway over loopback sockets, each against scripted peers."""
+
+import pytest
+from stage import OBJECT, REQUEST, Stage, member
+
+from olivecourse.fronts import codec
+
+
+@pytest.fixture
+def stage(request):
+    made = Stage(**getattr(request, "param", {}))
+    yield made
+    made.close()
+
+
+def with_board(test):
+    return pytest.mark.parametrize("stage", [{"board": True}], indirect=True)(test)
+
+
+def fields_of(line):
+    word, request, named, size = line.split(" ")
+    return dict(pair.split("=", 1) for pair in named.split(","))
+
+
+def test_a_read_is_passed_on_and_its_bytes_come_back_whole(stage):
+    client, body = stage.client(), bytes(range(256)) * 900
+    client.call(7, mine="4be0c1927d55a6f3")
+    line = stage.until(stage.cache.line)
+    assert line.startswith(f"fetch {REQUEST} ") and line.endswith(" 0")
+    named = fields_of(line)
+    assert (named["sort"], named["asset"], named["slice"], named["holds"]) == (
+        "fichiers", OBJECT, "0", "4be0c1927d55a6f3")
+    assert named["fetch"] == "s-00000008" and 4000 < int(named["patience"]) <= 5000
+    stage.cache.say(b"%s data version=aa,stamp=1,n=HIT %d\r\n%s\r\n" % (REQUEST.encode(), len(body), body))
+    assert stage.until(client.answers) == [(7, "success", {}, body)]
+
+
+def test_unchanged_tells_the_client_that_its_copy_holds(stage):
+    client = stage.client()
+    client.call(mine="aa")
+    stage.until(stage.cache.line)
+    stage.cache.say(f"{REQUEST} unchanged version=aa,stamp=1,n=HIT 0\r\n\r\n".encode())
+    assert stage.until(client.answers) == [(1, "success", {"still": "1"}, b"")]
+
+
+def test_an_order_that_may_have_run_fails_and_is_not_sent_again(stage):
+    client = stage.client()
+    client.call(c="commande", body=b"a dozen")
+    assert "retain" not in fields_of(stage.until(stage.cache.line))
+    assert stage.until(stage.cache.line) == "a dozen"
+    stage.cache.conns[0].close()
+    stage.cache.conns.clear()
+    assert stage.until(client.answers)[0][1] == "failed"
+    assert stage.cache.line() is None and stage.parent.line() is None and stage.origin.line() is None
+
+
+def test_an_order_that_was_turned_away_may_be_refused_with_a_time_to_return(stage):
+    client = stage.client()
+    client.call(c="commande", body=b"a dozen")
+
+    def turn_away():
+        if (line := stage.cache.line()) and line.startswith("fetch"):
+            stage.cache.say(f"{REQUEST} full - 0\r\n\r\n".encode())
+        return client.answers()
+
+    (answer,) = stage.until(turn_away)
+    assert answer[1] == "refused" and answer[2] == {"w": "1000"}
+
+
+def test_a_second_copy_of_an_order_is_blocked_whatever_the_module_says(stage):
+    from olivecourse import interface as w
+    client = stage.client()
+    client.call(c="commande", body=b"once")
+    stage.until(lambda: stage.cache.line() == "once")
+    stage.gateway.carry_out([w.ReadThrough(REQUEST, 1, 10**9, 9, 0, 0, w.How(0))])
+    assert "second_send_blocked" in stage.names()
+    stage.gateway.carry_out([w.Refuse(REQUEST, 0)])
+    assert stage.until(client.answers)[0][1] == "failed"
+
+
+def test_a_refused_connection_proves_that_nothing_ran(stage):
+    stage.cache.sock.close()
+    client = stage.client()
+    client.call(c="commande")
+    assert stage.until(client.answers)[0][1] == "refused"
+
+
+def test_forget_gives_the_attempt_up_and_a_late_answer_is_dropped(stage):
+    client = stage.client()
+    client.call(3)
+    stage.until(stage.cache.line)
+    client.call(4, "forget", 4, codec.ForgetArgs(seqid=3))
+    assert stage.until(stage.cache.line) == f"abort {REQUEST}"
+    stage.cache.say(f"{REQUEST} data version=aa,n=HIT 2\r\nhi\r\n".encode())
+    client.call(5, "isWell", 1, codec.IsWellArgs(unused=True))
+    assert [a[:2] for a in stage.until(client.answers)] == [(5, "success")]
+
+
+def test_a_disconnected_client_leaves_nothing_open(stage):
+    client = stage.client()
+    client.call()
+    stage.until(stage.cache.line)
+    client.sock.close()
+    assert stage.until(stage.cache.line) == f"abort {REQUEST}"
+    assert stage.gateway.ledger.open == 0
+
+
+def test_the_final_answer_comes_before_the_client_gives_up(stage):
+    client = stage.client()
+    client.call(d="120")
+    stage.until(stage.cache.line)
+    assert stage.until(client.answers)[0][1] == "refused"
+    assert not stage.gateway.ledger.tally["served"] and "answered_by_guard" not in stage.names()
+
+
+def test_a_module_that_forgets_a_request_does_not_leave_it_unanswered(stage):
+    client = stage.client()
+    client.call(d="120")
+    stage.until(stage.cache.line)
+    stage.gateway.local._router.held.clear()
+    assert stage.until(client.answers)[0][1] == "refused"
+    assert "answered_by_guard" in stage.names()
+
+
+@with_board
+def test_a_store_that_drains_before_the_first_byte_gets_nothing(stage):
+    stage.until(lambda: b"watch=1" in stage.board.poll())
+    client = stage.client()
+    # The connection is under way when the news comes, so the attempt still waits for it.
+    pool = stage.gateway.pool
+    client.call()
+    stage.until(lambda: pool._stores.get(1))
+    stream = pool._stores[1][0]
+    stage.until(lambda: not stream.connecting and stage.cache.line())
+    stream.outbox.write(b"x")  # a backlog: the next attempt has to wait behind it
+    flush, stream.flush = stream.flush, lambda: None
+    client.call(2, i="00000000000000aa")
+    pool.limits = type(pool.limits)(10**9, 10**10, 100, 1, 1)
+    stage.until(lambda: len(stream.waiting) == 1)
+    stage.tell(2, pool={"revision": 2, "complete": False,
+                        "members": [member("s-00000001", stage.cache.address, phase="Terminating")]})
+    stage.until(lambda: not stage.gateway.directory.ready(1))
+    stream.flush = flush
+    stream.flush()
+    assert stage.until(client.answers)[0][:2] == (2, "refused")
+    assert b"00000000000000aa" not in stage.cache.poll()
+
+
+@with_board
+def test_a_purge_bounds_the_age_of_copies_and_the_poll_goes_on_from_it(stage):
+    import time
+    stage.until(lambda: b"watch=1&" in stage.board.poll())
+    stage.tell(2, flush={"asset": OBJECT, "ms": int(time.time() * 1000) - 40})
+    stage.until(lambda: b"watch=2&" in stage.board.poll())
+    client = stage.client()
+    client.call()
+    named = fields_of(stage.until(stage.cache.line))
+    assert 40 <= int(named["newer"]) < 20_000 and "coalesce" not in named.get("handle", "")
+
+
+@with_board
+def test_a_lost_board_is_asked_again_for_what_was_missed(stage):
+    stage.until(lambda: b"watch=1&" in stage.board.poll())
+    stage.board.conns.pop().close()
+    stage.board.data.clear()
+    stage.until(lambda: b"watch=1&" in stage.board.poll())
+    stage.tell(5, flush={"collection": 17, "ms": 1})
+    stage.until(lambda: b"watch=5&" in stage.board.poll())
+    assert "board_lost" in stage.names()
+
+
+@with_board
+def test_unusable_notices_are_logged_and_passed_over(stage):
+    stage.until(lambda: b"watch=1&" in stage.board.poll())
+    stage.tell(2, flush={"asset": "x y", "ms": 1}, pool={"members": [{"id": "s-1"}]})
+    stage.until(lambda: b"watch=2&" in stage.board.poll())
+    assert "notice_unusable" in stage.names()
+
+
+@pytest.mark.parametrize("fields", [{"c": "nosuch"}, {"o": "../etc"}, {"d": "soon"}, {"d": "-1"},
+                                    {"n": "9e9"}, {"mine": "a b"}, {"i": "1"}, {"shard": "256"}])
+def test_fields_that_make_no_request_get_a_fault_and_the_connection_lives(stage, fields):
+    client = stage.client()
+    client.call(1, **fields)
+    client.call(2, "isWell", 1, codec.IsWellArgs(unused=True))
+    stage.until(lambda: len(client.answers()) == 2)
+    assert [a[:2] for a in client.answers()] == [(1, "fault"), (2, "success")]
+
+
+@pytest.mark.parametrize("data", [
+    b"\x7f\xff\xff\xff", b"\x00\x00\x00\x04abcd", b"GET / HTTP/1.1\r\n\r\n",
+    # A map that announces two thousand million entries, and a string as long.
+    b"\x00\x00\x00\x1a\x80\x01\x00\x01\x00\x00\x00\x05serve\x00\x00\x00\x01\x0d\x00\x01\x0b\x0b\x7f\xff\xff\xff\x00",
+    b"\x00\x00\x00\x18\x80\x01\x00\x01\x00\x00\x00\x05serve\x00\x00\x00\x01\x0b\x00\x02\x7f\xff\xff\xff"])
+def test_frames_that_cannot_be_read_close_the_connection(stage, data):
+    client = stage.client()
+    client.sock.sendall(data)
+    stage.until(lambda: client.poll() == b"" and client.closed)
+    assert "client_bad_frame" in stage.names()
+
+
+def test_an_id_in_use_and_an_unknown_method_are_faults(stage):
+    client = stage.client()
+    client.call(1)
+    client.call(2)
+    client.call(3, "steal", 1, codec.IsWellArgs(unused=True))
+    stage.until(lambda: len(client.answers()) == 2)
+    assert [a[:2] for a in client.answers()] == [(2, "fault"), (3, "fault")]
+
+
+@pytest.mark.parametrize("answer", [b"what is this\r\n", b"a b c d\r\n", b"x" * 3000,
+                                    b"%s data - 999999999\r\n" % REQUEST.encode(),
+                                    b"%s data - 2\r\nabcd" % REQUEST.encode()])
+def test_a_store_that_speaks_nonsense_is_hung_up_on(stage, answer):
+    client = stage.client()
+    client.call()
+    stage.until(stage.cache.line)
+    stage.cache.say(answer)
+    stage.until(lambda: "store_broken_answer" in stage.names())
+    assert all(s.open for streams in stage.gateway.pool._stores.values() for s in streams)
+
+
+def test_stopping_answers_what_is_open_and_still_takes_requests(stage):
+    client = stage.client()
+    client.call(1)
+    stage.until(stage.cache.line)
+    stage.gateway.stop()
+    client.call(2, i="00000000000000aa")
+    assert "00000000000000aa" in stage.until(stage.cache.line)
+    for request in (REQUEST, "00000000000000aa"):
+        stage.cache.say(f"{request} data n=HIT 2\r\nhi\r\n".encode(), conn=0 if request == REQUEST else -1)
+    stage.until(lambda: len(client.answers()) == 2)
+    stage.until(lambda: not stage.gateway.loop.running)
+    assert {a[1] for a in client.answers()} == {"success"}
+
+
+def test_stopping_gives_up_in_time_what_no_store_answers(stage):
+    client = stage.client()
+    client.call(1, d="6000")
+    stage.until(stage.cache.line)
+    stage.gateway.stop()
+    stage.until(lambda: not stage.gateway.loop.running)
+    assert client.answers()[0][1] == "refused"
