--- a/olivecourse/cli.py
+++ b/olivecourse/cli.py
@@ -45,7 +45,8 @@
 @click.option("--role", type=click.Choice(["gateway", "forwarder", "planner"]), default="gateway",
               help="gateway: both in one process; the others need `planner` in the operator's file.")
 def serve(path: str | None = None, operator: str | None = None, role: str = "gateway") -> None:
-    """Run one gateway, or one of its two halves, until SIGTERM."""
+    """Run one gateway, or one of its two halves, until SIGTERM; SIGHUP reads the configuration again."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # which would end a program that does not serve yet
     config = _load(path, operator)
     logs.set_up()
     from olivecourse.gateway import Gateway  # only here: the other commands start faster without it
@@ -67,12 +68,23 @@
     waker.setblocking(False)
     woken.setblocking(False)
     signal.set_wakeup_fd(waker.fileno(), warn_on_full_buffer=False)
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(number, lambda *_: None)
 
     def wake(mask: int) -> None:
-        woken.recv(64)
-        gateway.stop()
+        came = woken.recv(64)  # a byte for each signal: its number
+        if signal.SIGTERM in came or signal.SIGINT in came:
+            gateway.stop()
+        elif signal.SIGHUP in came:
+            reload()
+
+    def reload() -> None:
+        """Reads the files again with the code of the start; whatever is wrong with them changes nothing."""
+        try:
+            fresh = load_operator(operator, os.environ) if operator else load_config(os.environ, path)
+            gateway.reload(fresh if role == "forwarder" else replace(fresh, planner=None))
+        except (BadConfig, OSError, ValueError) as error:
+            log("reload_refused", why=str(error))
 
     gateway.loop.watch(woken, 1, wake)
     gateway.run()
--- a/olivecourse/gateway.py
+++ b/olivecourse/gateway.py
@@ -9,6 +9,7 @@
 import gc
 import os
 from collections.abc import Callable
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 from olivecourse import interface as w
@@ -127,6 +128,49 @@
             self.log("file_unusable", why=str(error))
         self.loop.after(FILES_NS, self._look_at_files)
 
+    def reload(self, fresh: Config) -> None:
+        """SIGHUP: takes what may change while requests run; the rest is named and waits for a restart.
+
+        Raises ValueError before anything has been taken. What the file says of the stores is passed over:
+        their numbered events go on at the board, from the last one told.
+        """
+        old = self.config
+        keys: Any = None
+        if fresh.signed is not None and self.tokens is not None:
+            from olivecourse.fronts.tokens import read_keys
+
+            keys = read_keys(fresh.signed.keys)
+        moved = [name for name in ("board", "peers", "peers_all", "inventory")
+                 if getattr(fresh, name) != getattr(old, name)]
+        fixed = [name for name in ("name", "settings", "zones", "kinds", "connect_ns", "idle_ns", "streams",
+                                   "sockets", "memory_mb", "peer_listen", "planner")
+                 if getattr(fresh, name) != getattr(old, name)]
+        if fresh.listen != old.listen:
+            fixed.append("listen")
+        # Not the leeway either: with another one an order token could be shown a second time.
+        signed = fresh.signed if fresh.signed is None or old.signed is None else replace(
+            fresh.signed, keys=old.signed.keys)
+        if signed != old.signed:
+            fixed.append("signed")
+        self.config = replace(old, board=fresh.board, peers=fresh.peers, peers_all=fresh.peers_all,
+                              inventory=fresh.inventory,
+                              signed=old.signed if "signed" in fixed else fresh.signed)
+        if self.peers is not None:
+            self.peers.move(fresh.peers, fresh.peers_all)
+        if self.board is not None and fresh.board is not None:
+            self.board.move(fresh.board)
+        elif fresh.board is not None:
+            self.board = Board(self.loop, fresh.board, old.rev, self.told, self.log)
+        elif self.board is not None:  # told nothing any more, but the number is kept for a board to come
+            self.board.stop()
+            self.config = replace(self.config, rev=self.board.rev)
+            self.board = None
+        if "inventory" in moved:
+            self._inventory_seen = -1  # read within a second, as after any change
+        if keys is not None and self.tokens is not None:
+            self.tokens.keys = keys
+        self.log("reloaded", moved=moved, needs_restart=fixed)
+
     def greet(self) -> None:
         """A planner that has just been found knows nothing: tell it the stores and the purges that bind."""
         now = self.loop.clock.now()
--- a/olivecourse/net/board.py
+++ b/olivecourse/net/board.py
@@ -10,6 +10,7 @@
 
 from olivecourse.net.loop import Loop
 from olivecourse.net.stream import Address, Stream
+from olivecourse.net.wheel import Timer
 
 MS = 1_000_000
 LINGER_MS = 1_500  # short, so that a connection cut off in silence is noticed well before the 7 s are over
@@ -23,7 +24,7 @@
     """One kept-alive connection on which polls follow each other."""
 
     def __init__(self, board: Board) -> None:
-        self.board = board
+        self.board, self.address = board, board.address
         self.parser = httptools.HttpResponseParser(self)
         self.body = bytearray()
         super().__init__(board.loop, Stream.connect(board.address), 262_144, 4096, connecting=True)
@@ -39,7 +40,7 @@
         # Guards against a board cut off without a word, whose connection stays open for ever.
         self.patience.cancel()
         self.patience = self.loop.after(PATIENCE_NS, self._silent)
-        host, port = self.board.address
+        host, port = self.address
         self.write(f"GET /board/poll?watch={self.board.rev}&linger={LINGER_MS} HTTP/1.1\r\n"
                    f"Host: {host}:{port}\r\n\r\n".encode())
 
@@ -60,15 +61,16 @@
             self.loop.after(0, lambda: self.close("not a 200"))
             return
         keep = self.parser.should_keep_alive()
-        self.board.answer(body)
-        if keep and self.open:
+        if not self.board.answer(body):  # asked again at once, it would most likely say the same
+            self.loop.after(0, lambda: self.close("broken answer"))
+        elif keep and self.open:
             self.ask()
         else:
             self.loop.after(0, lambda: self.close("closed after its answer"))
 
     def closed(self, why: str) -> None:
         self.patience.cancel()
-        self.board.lost(why)
+        self.board.lost(self, why)
 
 
 class Board:
@@ -77,6 +79,7 @@
         self._again = AGAIN_NS
         self._stopped = False
         self.stream: PollStream | None = None
+        self._timer: Timer | None = None  # the next try to connect
         self._connect()
 
     def _connect(self) -> None:
@@ -85,9 +88,25 @@
         try:
             self.stream = PollStream(self)
         except OSError as error:
-            self.lost(str(error))
+            self.lost(None, str(error))
 
-    def answer(self, body: bytes) -> None:
+    def move(self, address: Address) -> None:
+        """The board of a new configuration: asked at once, from the last event that the old one told.
+
+        Guards against a wait for the old one, which may keep its connection open and say nothing more.
+        """
+        if address == self.address:
+            return
+        self.address, self._again = address, AGAIN_NS
+        old, self.stream = self.stream, None
+        if old is not None:
+            old.close("the board has moved")
+        if self._timer is not None:
+            self._timer.cancel()
+        self._connect()
+
+    def answer(self, body: bytes) -> bool:
+        """Whether the answer could be read; of one that can't, nothing is taken."""
         try:
             news = json.loads(body)
             rev, notices = int(news["rev"]), list(news["notices"])
@@ -95,7 +114,7 @@
                            key=lambda pair: pair[0])
         except (ValueError, KeyError, TypeError) as error:
             self._log("board_broken_answer", why=repr(error))
-            return
+            return False
         self._again = AGAIN_NS
         if fresh:
             self.rev = fresh[-1][0]
@@ -103,13 +122,14 @@
         # The answer's own number may run ahead of its list: never past what was really read.
         if not notices and rev < self.rev:
             self._log("board_went_back", rev=rev, held=self.rev)
+        return True
 
-    def lost(self, why: str) -> None:
-        self.stream = None
-        if self._stopped:
+    def lost(self, stream: PollStream | None, why: str) -> None:
+        if self._stopped or stream is not self.stream:
             return
+        self.stream = None
         self._log("board_lost", why=why)
-        self.loop.after(self._again, self._connect)
+        self._timer = self.loop.after(self._again, self._connect)
         self._again = min(self._again * 2, AGAIN_MOST_NS)
 
     def stop(self) -> None:
--- a/olivecourse/net/peers.py
+++ b/olivecourse/net/peers.py
@@ -27,6 +27,11 @@
         self._sock.setblocking(False)
         loop.watch(self._sock, READ, self._ready)
 
+    def move(self, peers: list[Address], everyone: Address | None) -> None:
+        """The addresses of a new configuration."""
+        self._peers, self._all = peers, everyone
+        self._numbers = {address: i for i, address in enumerate(peers)}
+
     def _ready(self, mask: int) -> None:
         for _ in range(READS):
             try:
--- a/olivecourse/service.py
+++ b/olivecourse/service.py
@@ -19,6 +19,10 @@
     def stop(self) -> None:
         self.loop.running = False
 
+    def reload(self, config: Config) -> None:
+        """A planner takes the settings of its start; the forwarders read what may change."""
+        self.log("reloaded", moved=[], needs_restart=[])
+
     def run(self) -> None:
         self.log("ready", planner=self._server.path)
         self.loop.run(lambda: None)
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -144,6 +144,7 @@
         raw = {"name": "n0", "listen": "127.0.0.1:0", "seed": "05", "settings": SETTINGS,
                "known": {"rev": 1, "notices": [
                    {"rev": 1, "pool": {"revision": 1, "complete": True, "members": members}}]}, **more}
+        self.raw = raw
         if self.board:
             raw["board"] = self.board.address
             self.peers.append(self.board)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -96,6 +96,31 @@
     assert program.process.wait(30) == 0
 
 
+def test_sighup_reads_the_configuration_again_and_a_bad_one_changes_nothing(world):
+    folder, cache, start = world
+    path, boards = folder / "config.json", [Peer(), Peer()]
+    raw = json.loads(path.read_text())
+    path.write_text(json.dumps({**raw, "board": boards[0].address}))
+    program = start(EDGE_CONFIG=str(path))
+    client = program.client()
+    until(lambda: b"watch=1&" in boards[0].poll())
+    client.call(1)
+    request = until(cache.line).split(" ")[1]
+    path.write_text("{")
+    program.process.send_signal(signal.SIGHUP)
+    assert "not JSON" in program.event("reload_refused")["why"]
+    path.write_text(json.dumps({**raw, "board": boards[1].address, "listen": "127.0.0.1:1"}))
+    program.process.send_signal(signal.SIGHUP)
+    told = program.event("reloaded")
+    assert (told["moved"], told["needs_restart"]) == (["board"], ["listen"])
+    until(lambda: b"watch=1&" in boards[1].poll())
+    cache.say(f"{request} data version=aa,stamp=1,n=HIT 5\r\nhello\r\n".encode())
+    assert until(client.answers) == [(1, "success", {}, b"hello")]
+    assert program.end() == 0
+    for board in boards:
+        board.close()
+
+
 def test_a_restart_takes_the_same_address_with_connections_left_over(world):
     folder, cache, start = world
     first = start(EDGE_CONFIG=str(folder / "config.json"))
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -1,7 +1,7 @@
 """Stories of the platform's gateway over loopback sockets, each against scripted peers."""
 
 import pytest
-from stage import OBJECT, REQUEST, Stage, member
+from stage import OBJECT, REQUEST, Peer, Stage, member
 
 from olivecourse.fronts import codec
 
@@ -292,3 +292,31 @@
     stage.until(lambda: stage.gateway.ledger.open == 4)
     stage.until(lambda: b"0000000000000004" in stage.cache.poll())
     assert len(stage.cache.conns) == 1
+
+
+@with_board
+def test_a_reload_moves_the_poll_to_the_new_board_from_the_last_event(stage):
+    old, stage.board = stage.board, Peer()
+    stage.until(lambda: b"watch=1&" in old.poll())
+    client = stage.client()
+    client.call()
+    stage.until(stage.cache.line)
+    old.say(b'HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{"rev":2,"notices":[{"rev":2,')  # never ends
+    stage.gateway.reload(stage.config({**stage.raw, "board": stage.board.address}))
+    stage.until(lambda: b"watch=1&" in stage.board.poll())
+    stage.tell(2, flush={"asset": OBJECT, "ms": 1})
+    stage.until(lambda: b"watch=2&" in stage.board.poll())
+    stage.cache.say(f"{REQUEST} data version=aa,stamp=1,n=HIT 2\r\nhi\r\n".encode())
+    assert stage.until(client.answers) == [(1, "success", {}, b"hi")]
+    assert ("reloaded", {"moved": ["board"], "needs_restart": []}) in stage.logged
+    assert "board_lost" not in stage.names()
+    old.close()
+
+
+@with_board
+def test_a_board_answer_that_cannot_be_read_is_not_asked_for_again_at_once(stage):
+    stage.until(lambda: b"watch=1&" in stage.board.poll())
+    stage.board.say(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n{\"r")
+    stage.until(lambda: "board_lost" in stage.names())
+    assert stage.board.poll().count(b"GET ") == 1
+    stage.until(lambda: stage.board.poll().count(b"GET ") == 2)
