--- a/olivecourse/fronts/listener.py
+++ b/olivecourse/fronts/listener.py
@@ -1,15 +1,23 @@
-"""What both fronts share: the listening socket and the clients on it."""
+"""What both fronts share: the listening socket, the clients on it, and how long they may say nothing."""
 
 from __future__ import annotations
 
 import socket
 from collections.abc import Callable
+from itertools import islice
 from typing import Any, Protocol
 
 from olivecourse import interface as w
 from olivecourse.net.loop import READ, Loop
 from olivecourse.net.stream import Address, Stream, listen
 
+MS = 1_000_000
+SWEEP_NS = 200 * MS
+FIRST_NS = 2_300 * MS  # to a first whole request; with the sweep under the 3 s that any client is owed
+PART_NS, PART_MOST_NS = 2_300 * MS, 6_000 * MS  # for the rest of one begun: with nothing open, and at all
+IDLE_NS = 5_000 * MS  # between two requests; well-behaved clients leave after 4 s
+YOUNG_NS = 100 * MS  # a connection so new may still be about to ask
+
 
 class Taker(Protocol):
     """The core, as fronts see it."""
@@ -19,19 +27,52 @@
     def leave(self, request: str) -> None: ...
 
 
+class Client(Stream):
+    """One client's connection; subclasses call `settle` whenever what is open on it has changed."""
+
+    def __init__(self, front: Listener, sock: socket.socket, most_in: int, most_out: int) -> None:
+        self.owner = front
+        self.since = front.loop.clock.now()
+        self.begun = 0  # when the request that is still incomplete began to arrive; 0 if there is none
+        self.answered = False
+        super().__init__(front.loop, sock, most_in, most_out)
+
+    def load(self) -> int:
+        """Requests that are owed an answer here."""
+        raise NotImplementedError
+
+    def write(self, data: bytes) -> None:
+        self.answered = True
+        super().write(data)
+
+    def settle(self) -> None:
+        self.owner.place(self)
+
+    def closed(self, why: str) -> None:
+        self.owner.left(self)
+
+
 class Listener:
-    """Accepts up to `most` clients; subclasses make the stream of each."""
+    """Accepts up to `most` clients; subclasses make the stream of each.
+
+    A full table makes room by closing whoever is most likely of no use, and only if all are at work the
+    newcomer. Guards against connections by the hundred that say nothing, or ask once and stay.
+    """
 
     def __init__(self, loop: Loop, address: Address, core: Taker, classes: dict[str, tuple[int, bool]],
-                 wait_ns: int, most: int, log: Callable[..., None]) -> None:
+                 wait_ns: int, most: int, unread: int, log: Callable[..., None]) -> None:
         self.loop, self.core, self.classes = loop, core, classes
-        self.wait_ns, self.log, self._most = wait_ns, log, most
-        self.clients: set[Stream] = set()
+        self.wait_ns, self.log, self._most, self._unread = wait_ns, log, most, unread
+        self.clients: set[Client] = set()
+        self._fresh: dict[Client, int] = {}  # nothing was ever answered and nothing is open
+        self._idle: dict[Client, int] = {}  # answered, and since when nothing is open, the longest first
         self._sock = listen(address)
         self.port: int = self._sock.getsockname()[1]
+        self._closed = False
         loop.watch(self._sock, READ, self._accept)
+        loop.after(SWEEP_NS, self._sweep)
 
-    def client(self, sock: socket.socket) -> Stream:
+    def client(self, sock: socket.socket) -> Client:
         raise NotImplementedError
 
     def _accept(self, mask: int) -> None:
@@ -42,20 +83,76 @@
                 return
             except OSError as error:  # out of descriptors, or the client left before we came
                 self.log("accept_failed", why=str(error))
-                return
-            if len(self.clients) >= self._most:
+                if not self._make_room():
+                    return
+                continue
+            if len(self.clients) >= self._most and not self._make_room():
                 self.log("too_many_clients", clients=len(self.clients))
                 sock.close()
                 continue
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.clients.add(self.client(sock))
+            client = self.client(sock)
+            self.clients.add(client)
+            self.place(client)
+
+    def place(self, client: Client) -> None:
+        """Files a client by what is open on it."""
+        self._fresh.pop(client, None)
+        self._idle.pop(client, None)
+        if client.open and not client.load():
+            if client.answered:
+                self._idle[client] = self.loop.clock.now()
+                client.inbox.shrink()
+                client.outbox.shrink()
+            else:
+                self._fresh[client] = client.since
+
+    def left(self, client: Client) -> None:
+        self._fresh.pop(client, None)
+        self._idle.pop(client, None)
+        self.clients.discard(client)
+
+    def _make_room(self) -> bool:
+        """Closes one that never asked, else the longest idle one; whether there was one to close."""
+        old = self.loop.clock.now() - YOUNG_NS
+        for groups, before in (((self._fresh, self._idle), old), ((self._idle, self._fresh), old + YOUNG_NS)):
+            for group in groups:
+                for client in list(islice((c for c, since in group.items() if since <= before), 8)):
+                    client.read()  # its request may have come already: then it is not the one
+                    if client.open and not client.load():
+                        client.close("room for another")
+                    if not client.open:
+                        return True
+        return False
+
+    def _sweep(self) -> None:
+        """Closes connections that never ask, never finish asking, or stay without asking again."""
+        if self._closed:
+            return
+        now, unread = self.loop.clock.now(), 0
+        for client in list(self.clients):
+            part = now - client.begun if client.begun else 0
+            unread += len(client.outbox)
+            if client in self._fresh and now - client.since > FIRST_NS:
+                client.close("never asked")
+            elif part > (PART_MOST_NS if client.load() else PART_NS):
+                client.close("never finished asking")
+            elif client in self._idle and now - self._idle[client] > IDLE_NS:
+                client.close("idle")
+        while unread > self._unread:  # answers that nobody reads must not take the memory of the others
+            worst = max(self.clients, key=lambda c: len(c.outbox))
+            unread -= len(worst.outbox)
+            self.log("client_does_not_read", unread=len(worst.outbox))
+            worst.close("does not read")
+        self.loop.after(SWEEP_NS, self._sweep)
 
     def flushed(self) -> bool:
         """Whether every answer has left."""
         return not any(len(c.outbox) for c in self.clients)
 
     def close(self) -> None:
+        self._closed = True
         self.loop.forget(self._sock)
         self._sock.close()
         for client in list(self.clients):
--- a/olivecourse/fronts/signed.py
+++ b/olivecourse/fronts/signed.py
@@ -16,16 +16,15 @@
 
 from olivecourse import interface as w
 from olivecourse.core.ledger import Crowded, Duplicate
-from olivecourse.fronts.listener import Listener, Taker
+from olivecourse.fronts.listener import Client, Listener, Taker
 from olivecourse.fronts.thrift import MOST_WRITE, BadRequest, read_request
 from olivecourse.fronts.tokens import Rejected, Tokens
 from olivecourse.net.loop import Loop
-from olivecourse.net.stream import Address, Stream
+from olivecourse.net.stream import Address
 
 MS = 1_000_000
 MOST_HEAD = 16_384
 MOST_QUEUED = 8  # pipelined requests that wait for the one before
-IDLE_NS = 15_000 * MS  # for a whole request to arrive, and between two
 REASONS = {200: "OK", 304: "Not Modified", 400: "Bad Request", 401: "Unauthorized", 403: "Forbidden",
            404: "Not Found", 405: "Method Not Allowed", 413: "Content Too Large", 502: "Bad Gateway",
            503: "Service Unavailable", 504: "Gateway Timeout"}
@@ -64,7 +63,7 @@
         self._client.answer(504 if late else 502, b"", [], self._keep)
 
 
-class SignedClient(Stream):
+class SignedClient(Client):
     def __init__(self, front: SignedFront, sock: socket.socket) -> None:
         self.front = front
         self.open_request: str | None = None
@@ -72,21 +71,16 @@
         self.queue: deque[Asked] = deque()
         self.asked = Asked()
         self.parser = httptools.HttpRequestParser(self)
-        self.last = front.loop.clock.now()
-        super().__init__(front.loop, sock, 65_536, 2**20)
-        self.watchdog = self.loop.after(IDLE_NS, self._watch)
+        super().__init__(front, sock, 65_536, 2**20)
 
-    def _watch(self) -> None:
-        """Guards against connections that never ask or never finish asking."""
-        if not self.busy and self.loop.clock.now() - self.last >= IDLE_NS:
-            self.close("idle")
-        elif self.open:
-            self.watchdog = self.loop.after(IDLE_NS, self._watch)
+    def load(self) -> int:
+        return int(self.busy) + len(self.queue)
 
     # What httptools calls ----------------------------------------------------------------------------
 
     def on_message_begin(self) -> None:
         self.asked = Asked()
+        self.begun = self.loop.clock.now()
 
     def on_url(self, part: bytes) -> None:
         self.asked.target += part
@@ -109,6 +103,7 @@
         if len(self.queue) >= MOST_QUEUED:
             raise ValueError("too many requests at once")
         self.queue.append(self.asked)
+        self.begun = 0
 
     def _grown(self, by: int) -> None:
         self.asked.head += by
@@ -118,7 +113,6 @@
     # -------------------------------------------------------------------------------------------------
 
     def received(self) -> None:
-        self.last = self.loop.clock.now()
         try:
             self.parser.feed_data(self.inbox.take(len(self.inbox)))
         except (httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError) as error:
@@ -129,6 +123,8 @@
                 self.answer(400, b"malformed request\n", [], False)
             return
         self._next()
+        if self.open:
+            self.settle()
 
     def _next(self) -> None:
         while self.queue and not self.busy and self.open:
@@ -156,7 +152,6 @@
     def answer(self, status: int, body: bytes, headers: list[str], keep: bool) -> None:
         self.open_request = None
         self.busy = False
-        self.last = self.loop.clock.now()
         lines = [f"HTTP/1.1 {status} {REASONS[status]}", *headers]
         if status != 304:
             lines.append(f"Content-Length: {len(body)}")
@@ -168,6 +163,7 @@
             self._close_when_sent()
         elif self.open and self.queue:
             self.loop.after(0, self._next)
+        self.settle()
 
     def _close_when_sent(self) -> None:
         if self.open and len(self.outbox):
@@ -176,8 +172,7 @@
             self.close("answered")
 
     def closed(self, why: str) -> None:
-        self.watchdog.cancel()
-        self.front.clients.discard(self)
+        super().closed(why)
         request, self.open_request = self.open_request, None
         if request is not None:
             self.front.core.leave(request)
@@ -185,12 +180,12 @@
 
 class SignedFront(Listener):
     def __init__(self, loop: Loop, address: Address, core: Taker, classes: dict[str, tuple[int, bool]],
-                 deadlines_ms: list[int], tokens: Tokens, public: str, wait_ns: int, most: int,
+                 deadlines_ms: list[int], tokens: Tokens, public: str, wait_ns: int, most: int, unread: int,
                  log: Callable[..., None]) -> None:
         self.tokens, self._deadlines, self._public = tokens, deadlines_ms, public.rstrip("/")
-        super().__init__(loop, address, core, classes, wait_ns, most, log)
+        super().__init__(loop, address, core, classes, wait_ns, most, unread, log)
 
-    def client(self, sock: socket.socket) -> Stream:
+    def client(self, sock: socket.socket) -> Client:
         return SignedClient(self, sock)
 
     def read(self, client: SignedClient,
--- a/olivecourse/fronts/thrift.py
+++ b/olivecourse/fronts/thrift.py
@@ -25,9 +25,9 @@
     encode,
     refusal_frame,
 )
-from olivecourse.fronts.listener import Listener, Taker
+from olivecourse.fronts.listener import Client, Listener, Taker
 from olivecourse.net.loop import Loop
-from olivecourse.net.stream import Address, Stream
+from olivecourse.net.stream import Address
 
 MS = 1_000_000
 MOST_WRITE = 48_000
@@ -96,30 +96,46 @@
     def _send(self, frame: bytes) -> None:
         self._client.asked.pop(self._number, None)
         self._client.write(frame)
+        if not self._client.asked:
+            self._client.settle()
 
 
-class ThriftClient(Stream):
+class ThriftClient(Client):
     def __init__(self, front: ThriftFront, sock: socket.socket) -> None:
         self.front = front
         self.asked: dict[int, str] = {}  # open requests by their numbers
-        super().__init__(front.loop, sock, MOST_FRAME + 4, MOST_OUT)
+        super().__init__(front, sock, MOST_FRAME + 4, MOST_OUT)
+
+    def load(self) -> int:
+        return len(self.asked)
 
     def received(self) -> None:
+        whole = self._frames()
+        self.begun = 0 if not len(self.inbox) else self.begun if self.begun and not whole else self._now()
+
+    def _now(self) -> int:
+        return self.loop.clock.now()
+
+    def _frames(self) -> int:
+        """Takes all whole frames, and counts them."""
+        whole = 0
         while self.open and len(self.inbox) >= 4:
             size = int.from_bytes(self.inbox.peek(4), "big")
             if size > MOST_FRAME:
                 self._bad(f"frame of {size} bytes")
-                return
+                break
             if len(self.inbox) < 4 + size:
-                return
+                break
+            whole += 1
             self.inbox.skip(4)
             frame = self.inbox.take(size)
             try:
                 name, kind, number, args = decode(frame, METHODS)
             except Exception as error:  # the codec raises whatever hostile bytes bring about
                 self._bad(f"unreadable frame: {type(error).__name__}")
-                return
+                break
             self._call(name, kind, number, args)
+        return whole
 
     def _bad(self, why: str) -> None:
         self.front.log("client_bad_frame", why=why)
@@ -132,9 +148,11 @@
             request = self.asked.pop(args.seqid if isinstance(args.seqid, int) else -1, None)
             if request is not None:
                 self.front.core.leave(request)
+                self.settle()
         elif isinstance(args, IsWellArgs):
             well = Result(success=Answer(body=b"", fields={}, good=self.front.is_well()))
             self.write(encode(name, TMessageType.REPLY, number, well))
+            self.settle()
         elif isinstance(args, ServeArgs):
             self._serve(number, args)
         else:
@@ -155,6 +173,8 @@
             self._fault("serve", number, TApplicationException.PROTOCOL_ERROR, str(bad))
             return
         self.asked[number] = ask.request
+        if len(self.asked) == 1:
+            self.settle()
         try:
             self.front.core.take(ask, body, holds, ThriftReply(self, number))
         except Duplicate:
@@ -166,9 +186,10 @@
     def _fault(self, name: str, number: int, kind: int, why: str) -> None:
         self.front.log("client_bad_request", why=why)
         self.write(encode(name, TMessageType.EXCEPTION, number, Fault(message=why, type=kind)))
+        self.settle()
 
     def closed(self, why: str) -> None:
-        self.front.clients.discard(self)
+        super().closed(why)
         asked, self.asked = self.asked, {}
         for request in asked.values():
             self.front.core.leave(request)
@@ -176,9 +197,10 @@
 
 class ThriftFront(Listener):
     def __init__(self, loop: Loop, address: Address, core: Taker, classes: dict[str, tuple[int, bool]],
-                 is_well: Callable[[], bool], wait_ns: int, most: int, log: Callable[..., None]) -> None:
+                 is_well: Callable[[], bool], wait_ns: int, most: int, unread: int,
+                 log: Callable[..., None]) -> None:
         self.is_well = is_well
-        super().__init__(loop, address, core, classes, wait_ns, most, log)
+        super().__init__(loop, address, core, classes, wait_ns, most, unread, log)
 
-    def client(self, sock: socket.socket) -> Stream:
+    def client(self, sock: socket.socket) -> Client:
         return ThriftClient(self, sock)
--- a/olivecourse/gateway.py
+++ b/olivecourse/gateway.py
@@ -31,6 +31,8 @@
     from olivecourse.fronts.tokens import Tokens
 
 MS = 1_000_000
+PER_STORE = 24  # connections to one store, as far as the descriptors allow
+OWN_SOCKETS = 24  # loop, log, listener, board, peers, planner, files that are read
 FILES_NS = 1_000 * MS  # between two looks at the operator's files
 LINGER_NS = 900 * MS  # after SIGTERM clients keep coming for 0.6 s; 0.7 s at least are asked for
 LONGEST_NS = 3_000 * MS  # what of the longest deadline counts before SIGKILL may come, plus 0.7 s
@@ -60,7 +62,7 @@
         self.directory = Directory(config.zones, config.kinds, loop.clock.from_unix_ms, loop.clock.now)
         self.ledger = Ledger(s, LoopTimers(loop), self.batch.append, log, most=4096)
         self.purges: dict[str | int, int] = {}
-        limits = Limits(config.connect_ns, int(config.idle_ns * 0.8), config.streams, 24,
+        limits = Limits(config.connect_ns, int(config.idle_ns * 0.8), config.streams, PER_STORE,
                         max(config.sockets // 2 - 32, 16))
         self.pool = Pool(loop, self.directory, self.ledger, limits, [c.name for c in s.classes], log)
         self.ledger.carrier = self.pool
@@ -89,17 +91,22 @@
     def _front(self) -> Listener:
         config, s = self.config, self.config.settings
         classes = {c.name: (i, c.write) for i, c in enumerate(s.classes)}
-        wait, most = (s.max_retry_after_ns if s.retry_after else 0), config.sockets // 3
+        wait = s.max_retry_after_ns if s.retry_after else 0
+        # Usual clients take a third of the descriptors at most. What stores and our own files leave besides
+        # is room for those who connect and say nothing, so that fewer have to be closed for a newcomer.
+        most = max(config.sockets // 3,
+                   config.sockets - self.pool.limits.total - PER_STORE - OWN_SOCKETS)
+        unread = config.memory_mb * 2**20 // 8
         if config.signed is None:
             return ThriftFront(self.loop, config.listen, self.ledger, classes, lambda: not self.stopping,
-                               wait, most, self.log)
+                               wait, most, unread, self.log)
         from olivecourse.fronts.signed import SignedFront  # only here: the platform's gateway needs neither
         from olivecourse.fronts.tokens import Tokens, read_keys
 
         self.tokens = Tokens(config.name, read_keys(config.signed.keys), config.signed.leeway_s)
         return SignedFront(self.loop, config.listen, self.ledger, classes,
                            [c.deadline_ns // MS for c in s.classes], self.tokens, config.signed.public,
-                           wait, most, self.log)
+                           wait, most, unread, self.log)
 
     @staticmethod
     def _stamp(path: str | None) -> int:
--- a/olivecourse/net/ringbuf.py
+++ b/olivecourse/net/ringbuf.py
@@ -78,6 +78,11 @@
         first = min(count, len(self._data) - start)
         return bytes(self._data[start:start + first]) + bytes(self._data[:count - first])
 
+    def shrink(self) -> None:
+        """Gives room back that an empty ring does not need just now."""
+        if not self._size and len(self._data) > FIRST:
+            self._data, self._head = bytearray(FIRST), 0
+
     def skip(self, count: int) -> None:
         self._size -= count
         self._head = (self._head + count) % len(self._data) if self._size else 0
--- a/olivecourse/net/stores.py
+++ b/olivecourse/net/stores.py
@@ -58,6 +58,7 @@
         self.stale: set[str] = set()  # ids given up here, whose answer may still be on its way
         self._head: tuple[str, str, dict[str, str], int] | None = None
         self._pumping = False
+        self.writing: Attempt | None = None  # whose bytes are being handed to the system
         self.fault = ""
         super().__init__(pool.loop, Stream.connect(address), MOST_BODY + 4 * MOST_LINE, 2**20,
                          connecting=True)
@@ -95,7 +96,9 @@
                 continue
             self.out[attempt.entry.ask.request] = attempt
             attempt.went = True
+            self.writing = attempt
             self.write(self.pool.request(attempt))
+            self.writing = None
         self._pumping = False
 
     def received(self) -> None:
@@ -259,7 +262,9 @@
             attempt.place = None
             self.ledger.end(attempt, w.Status.CONNECT_FAILED)
         for attempt in out:
-            self.ledger.end(attempt, w.Status.RESET)
+            # The one whose first byte the system would not take has not left.
+            never = stream.unsent and attempt is stream.writing
+            self.ledger.end(attempt, w.Status.CONNECT_FAILED if never else w.Status.RESET)
 
     def _sweep(self) -> None:
         """Closes connections before the store would: a request that crosses such a close may have run."""
--- a/olivecourse/net/stream.py
+++ b/olivecourse/net/stream.py
@@ -41,6 +41,7 @@
         self.loop, self.sock = loop, sock
         self.inbox, self.outbox = RingBuffer(most_in), RingBuffer(most_out)
         self.connecting, self.open = connecting, True
+        self.unsent = False  # closed because the system took not a byte of the last write
         self._mask = WRITE if connecting else READ
         loop.watch(sock, self._mask, self._ready)
 
@@ -75,9 +76,9 @@
         if mask & WRITE:
             self.flush()
         if mask & READ and self.open:
-            self._read()
+            self.read()
 
-    def _read(self) -> None:
+    def read(self) -> None:
         for _ in range(READS):
             try:
                 got = self.inbox.receive(self.sock)
@@ -101,13 +102,27 @@
         """Queues the bytes and sends what the socket takes; a full buffer closes the connection."""
         if not self.open:
             return
+        if not self.connecting and not len(self.outbox):
+            # Straight to the system, which mostly takes all: the ring is for what it does not take.
+            try:
+                sent = self.sock.send(data)
+            except (BlockingIOError, InterruptedError):
+                sent = 0
+            except OSError as error:
+                self.unsent = True
+                self.close(errno.errorcode.get(error.errno or 0, "error"))
+                return
+            if sent == len(data):
+                self.drained()
+                return
+            data = data[sent:] if sent else data
         try:
             self.outbox.write(data)
         except BufferFull as full:
             self.close(str(full))
             return
         if not self.connecting:
-            self.flush()
+            self._want()
 
     def flush(self) -> None:
         try:
