--- a/olivecourse/choice.py
+++ b/olivecourse/choice.py
@@ -372,9 +372,11 @@
             self.acts.append(w.Log(f"cache {node.member.cache} {('serves again', 'fails')[node.failing]}"))
 
     def _trust(self, node: Node, peers: list[Node]) -> float:
-        """The share of its own traffic that a node gets: what it hurts more than its best peer counts."""
+        """The share of its own traffic that a node gets: what it hurts more than its best peer counts, as a
+        part of what that one leaves; else of two parents a dead one would pass beside one with slow fills."""
         best = min((self._pain(n) for n in peers), default=0.0)
-        return max(TRIAL, 1.0 - STEEP * max(self._pain(node) - best - SLACK, 0.0))
+        more = (self._pain(node) - best) / max(1.0 - best, 0.1)
+        return max(TRIAL, 1.0 - STEEP * max(more - SLACK, 0.0))
 
     # Time, discovery and purges ---------------------------------------------------------------------
 
--- a/olivecourse/fronts/listener.py
+++ b/olivecourse/fronts/listener.py
@@ -35,6 +35,7 @@
         self.since = front.loop.clock.now()
         self.begun = 0  # when the request that is still incomplete began to arrive; 0 if there is none
         self.answered = False
+        self.taken = 0  # requests that could be read
         super().__init__(front.loop, sock, most_in, most_out)
 
     def load(self) -> int:
@@ -65,7 +66,10 @@
         self.wait_ns, self.log, self._most, self._unread = wait_ns, log, most, unread
         self.clients: set[Client] = set()
         self._fresh: dict[Client, int] = {}  # nothing was ever answered and nothing is open
-        self._idle: dict[Client, int] = {}  # answered, and since when nothing is open, the longest first
+        # Answered, and since when nothing is open, the longest first. Those that asked only once are apart:
+        # else a crowd of them drives out the connections of usual clients, who then add to it by coming back.
+        self._once: dict[Client, int] = {}
+        self._idle: dict[Client, int] = {}
         self._sock = listen(address)
         self.port: int = self._sock.getsockname()[1]
         self._closed = False
@@ -98,25 +102,29 @@
 
     def place(self, client: Client) -> None:
         """Files a client by what is open on it."""
-        self._fresh.pop(client, None)
-        self._idle.pop(client, None)
+        self._lift(client)
         if client.open and not client.load():
             if client.answered:
-                self._idle[client] = self.loop.clock.now()
+                (self._once if client.taken < 2 else self._idle)[client] = self.loop.clock.now()
                 client.inbox.shrink()
                 client.outbox.shrink()
             else:
                 self._fresh[client] = client.since
 
-    def left(self, client: Client) -> None:
+    def _lift(self, client: Client) -> None:
         self._fresh.pop(client, None)
+        self._once.pop(client, None)
         self._idle.pop(client, None)
+
+    def left(self, client: Client) -> None:
+        self._lift(client)
         self.clients.discard(client)
 
     def _make_room(self) -> bool:
         """Closes one that never asked, else the longest idle one; whether there was one to close."""
         old = self.loop.clock.now() - YOUNG_NS
-        for groups, before in (((self._fresh, self._idle), old), ((self._idle, self._fresh), old + YOUNG_NS)):
+        for groups, before in (((self._fresh, self._once, self._idle), old),
+                               ((self._once, self._idle, self._fresh), old + YOUNG_NS)):
             for group in groups:
                 for client in list(islice((c for c, since in group.items() if since <= before), 8)):
                     client.read()  # its request may have come already: then it is not the one
@@ -138,7 +146,7 @@
                 client.close("never asked")
             elif part > (PART_MOST_NS if client.load() else PART_NS):
                 client.close("never finished asking")
-            elif client in self._idle and now - self._idle[client] > IDLE_NS:
+            elif now - self._idle.get(client, self._once.get(client, now)) > IDLE_NS:
                 client.close("idle")
         while unread > self._unread:  # answers that nobody reads must not take the memory of the others
             worst = max(self.clients, key=lambda c: len(c.outbox))
--- a/olivecourse/fronts/signed.py
+++ b/olivecourse/fronts/signed.py
@@ -144,6 +144,7 @@
             self.answer(bad.status, f"{bad.reason}\n".encode(), challenge + wait, asked.keep)
             return
         self.open_request = ask.request
+        self.taken += 1
         try:
             self.front.core.take(ask, body, holds, reply)
         except (Crowded, Duplicate):
--- a/olivecourse/fronts/thrift.py
+++ b/olivecourse/fronts/thrift.py
@@ -173,6 +173,7 @@
             self._fault("serve", number, TApplicationException.PROTOCOL_ERROR, str(bad))
             return
         self.asked[number] = ask.request
+        self.taken += 1
         if len(self.asked) == 1:
             self.settle()
         try:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -106,6 +106,21 @@
         stage.until(lambda client=client, held=held: len(client.poll()) > held)
 
 
+def test_who_asked_only_once_makes_room_before_who_comes_again_and_again(stage):
+    front = stage.gateway.front
+    front._most = 2
+    usual, request = ask(stage, 1)
+    serve(stage, usual, request)
+    (known,) = front.clients
+    known.taken = 2  # it has asked twice, and is idle for longer than the other
+    known.settle()
+    once, request = ask(stage, 2)
+    serve(stage, once, request)
+    newcomer, request = ask(stage, 3)
+    gone(stage, once)
+    assert not usual.closed
+
+
 def test_room_is_not_made_at_the_cost_of_a_request_that_has_come_already(stage):
     front = stage.gateway.front
     front._most = 1
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -397,3 +397,12 @@
             for node in d.router.caches:
                 node.out.clear()
     assert 20 < served < 140
+
+
+def test_a_dead_parent_is_passed_by_although_the_fills_of_the_other_are_slow(drive):
+    d = drive()
+    first, second = PARENTS
+    for cache, pain in ((first, 0.95), (second, 0.45)):
+        d.router.nodes[cache].pain, d.router.nodes[cache].pain_at = pain, d.now
+    used = {sends(d.ask("a", object=f"{i:016x}"))[0].source for i in range(60)}
+    assert used == {second}
