--- a/olivecourse/core/ledger.py
+++ b/olivecourse/core/ledger.py
@@ -63,6 +63,7 @@
     deadline: int
     count: int = 0
     out: dict[int, Attempt] = field(default_factory=dict)
+    asked_on: list[Any] = field(default_factory=list)  # the carrier's connections that know this id
     maybe_ran: bool = False
     closed: bool = False
     guard: Cancellable | None = None
--- a/olivecourse/fronts/thrift.py
+++ b/olivecourse/fronts/thrift.py
@@ -58,11 +58,12 @@
     number, write = classes[cls]
     try:
         budget = int(fields["d"])
-        part, group = int(fields.get("n", "0")), int(fields["shard"]) if "shard" in fields else None
-        size = float(fields.get("m", "0"))
+        part, group, size = int(fields["n"]), int(fields["shard"]), float(fields["m"])
     except (KeyError, ValueError):
-        raise BadRequest("d, n, shard and m are numbers") from None
-    if not (0 < budget < 3_600_000 and 0 <= part < 2**31 and 0 <= (group or 0) < 256 and 0 <= size < 1e9):
+        raise BadRequest("d, n, shard and m are needed, as numbers") from None
+    if fields.get("r", "1") != "1":
+        raise BadRequest("r is 1 or absent")
+    if not (0 < budget < 3_600_000 and 0 <= part < 2**31 and 0 <= group < 256 and 0 <= size < 1e9):
         raise BadRequest("d, n, shard or m out of range")
     data = body or b""
     if not isinstance(data, bytes) or len(data) > MOST_WRITE:
@@ -104,6 +105,7 @@
     def __init__(self, front: ThriftFront, sock: socket.socket) -> None:
         self.front = front
         self.asked: dict[int, str] = {}  # open requests by their numbers
+        self.last = 0  # the highest number so far
         super().__init__(front, sock, MOST_FRAME + 4, MOST_OUT)
 
     def load(self) -> int:
@@ -159,10 +161,11 @@
             self._fault(name, number, TApplicationException.UNKNOWN_METHOD, "unknown method")
 
     def _serve(self, number: int, args: ServeArgs) -> None:
-        if number in self.asked:
+        if number <= self.last:
             # Guards against two answers under one number: nobody could tell them apart.
-            self._bad("sequence number in use")
+            self._bad("sequence number not above the last")
             return
+        self.last = number
         if len(self.asked) >= MOST_OPEN:
             ThriftReply(self, number).refused(self.front.wait_ns)
             return
--- a/olivecourse/net/stores.py
+++ b/olivecourse/net/stores.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -16,6 +17,11 @@
 MOST_LINE = 2048
 WAIT_TOGETHER = 16
 QUIET_NS = 500 * MS
+# Answers arrive in one go, within 0.4 ms of their first byte as measured; one that stops short never ends.
+STUCK_NS, STUCK_MOST_NS = 250 * MS, 2_000 * MS  # without a further byte, and at all
+LOST_NS = 1_000 * MS  # an attempt given up after so long, with nothing heard since it went, lost its answer
+NEAR_NS = 50 * MS  # the module gives up a little before the time is over
+TAG = re.compile(r"[0-9A-Za-z_.-]{1,64}")
 MOST_BODY = 240_000
 STATUSES = {"data": w.Status.SERVED, "unchanged": w.Status.SERVED, "absent": w.Status.MISS,
             "full": w.Status.FULL, "failed": w.Status.ERROR, "moot": w.Status.NOT_SENT}
@@ -41,9 +47,23 @@
 def _fields(text: str) -> dict[str, str]:
     if text == "-":
         return {}
+    if text.count("=") != text.count(",") + 1:
+        raise ValueError(text)
     return dict(pair.split("=", 1) for pair in text.split(","))
 
 
+def _promised(attempt: Attempt, word: str, named: dict[str, str], size: int) -> bool:
+    """Whether an answer carries what the protocol says it does: a spoilt one must not pass for a good one."""
+    if word not in ("data", "unchanged"):
+        return not size
+    entry = attempt.entry
+    if word == "unchanged" and (size or not entry.holds or entry.cls.write):
+        return False
+    # The archive's answer to an order is no copy: it has neither a tag nor an age.
+    return entry.cls.write or (TAG.fullmatch(named.get("version", "")) is not None
+                               and named.get("stamp", "").isdecimal())
+
+
 def _whole(text: str | None) -> int | None:
     return int(float(text)) if text else None
 
@@ -55,7 +75,8 @@
         self.pool, self.cache = pool, cache
         self.waiting: deque[Attempt] = deque()
         self.out: dict[str, Attempt] = {}
-        self.stale: set[str] = set()  # ids given up here, whose answer may still be on its way
+        self.spent = False  # an answer never came: nothing new is asked here, and it ends when it is empty
+        self._part_since = 0  # when the answer that is still incomplete began; 0 if there is none
         self._head: tuple[str, str, dict[str, str], int] | None = None
         self._pumping = False
         self.writing: Attempt | None = None  # whose bytes are being handed to the system
@@ -95,6 +116,7 @@
                 self.pool.ledger.end(attempt, w.Status.NOT_SENT)
                 continue
             self.out[attempt.entry.ask.request] = attempt
+            attempt.entry.asked_on.append(self)
             attempt.went = True
             self.writing = attempt
             self.write(self.pool.request(attempt))
@@ -103,6 +125,26 @@
 
     def received(self) -> None:
         self.heard = self.loop.clock.now()
+        taken = self._answers()
+        if not self.open or self._head is None and not len(self.inbox):
+            self._part_since = 0
+        elif taken or not self._part_since:
+            self._part_since = self.heard
+            self.loop.after(STUCK_NS, self._stuck)
+
+    def _stuck(self) -> None:
+        """Guards against an answer that stops short, behind which nothing more can be read."""
+        if not self.open or not self._part_since:
+            return
+        now = self.loop.clock.now()
+        if now - self.heard >= STUCK_NS or now - self._part_since >= STUCK_MOST_NS:
+            self._broken("an answer stops short")
+        else:
+            self.loop.after(STUCK_NS, self._stuck)
+
+    def _answers(self) -> int:
+        """Takes all whole answers, and counts them."""
+        taken = 0
         while self.open:
             if self._head is None:
                 line = self.inbox.peek(MOST_LINE)
@@ -110,7 +152,7 @@
                 if end < 0:
                     if len(line) >= MOST_LINE:
                         self._broken("line too long")
-                    return
+                    break
                 self.inbox.skip(end + 2)
                 try:
                     request, word, fields, length = line[:end].decode("ascii").split(" ")
@@ -119,26 +161,31 @@
                         raise ValueError(word)
                 except ValueError:
                     self._broken(repr(line[:min(end, 60)]))
-                    return
+                    break
             request, word, named, size = self._head
             if len(self.inbox) < size + 2:
-                return
+                break
             body = self.inbox.take(size)
             if self.inbox.take(2) != b"\r\n":
                 self._broken("no line end after the body")
-                return
+                break
             self._head = None
+            taken += 1
             self._answer(request, word, named, body)
+        return taken
 
     def _broken(self, what: str) -> None:
         self.fault = what
         self.close("broken answer")
 
     def _answer(self, request: str, word: str, named: dict[str, str], body: bytes) -> None:
-        attempt = self.out.pop(request, None)
-        if attempt is None:
-            self.stale.discard(request)  # the late answer to an attempt that has ended
+        attempt = self.out.get(request)
+        if attempt is None:  # late, a second copy, or an id that was never asked here
+            return
+        if not _promised(attempt, word, named, len(body)):
+            self._broken(f"{word} without what it promises")
             return
+        del self.out[request]
         self._idle()
         try:
             wait, note = _whole(named.get("took")), NOTES.get(named.get("n", ""), w.Note.NONE)
@@ -150,12 +197,18 @@
     def _idle(self) -> None:
         if not self.load:
             self.idle_since = self.loop.clock.now()
+            if self.spent:  # not at once: an answer in the midst of this turn may still be read
+                self.loop.after(0, lambda: None if self.load else self.close("an answer never came"))
 
     def abort(self, attempt: Attempt) -> None:
         request = attempt.entry.ask.request
         if self.out.get(request) is attempt:
             del self.out[request]
-            self.stale.add(request)
+            now = self.loop.clock.now()
+            # Guards against a connection that has lost its place: nothing new is asked on it any more.
+            age = now - attempt.sent_at
+            self.spent |= (now >= attempt.deadline - NEAR_NS and age > NEAR_NS
+                           or self.heard < attempt.sent_at and age > LOST_NS)
             self.write(f"abort {request}\r\n".encode())
         elif attempt in self.waiting:
             self.waiting.remove(attempt)
@@ -218,11 +271,11 @@
             attempt.place.abort(attempt)
 
     def _pick(self, attempt: Attempt) -> StoreStream | None:
-        """The least busy connection that knows nothing of this id; a new one while there is room."""
-        cache, request = attempt.action.cache, attempt.entry.ask.request
+        """The least busy connection that was never asked this id; a new one while there is room."""
+        cache, asked_on = attempt.action.cache, attempt.entry.asked_on
         streams = self._stores.setdefault(cache, [])
-        fit = [s for s in streams if request not in s.out and request not in s.stale
-               and s.load < self.limits.streams and len(s.stale) < 1000]
+        # Never twice on one connection: a second copy of the first answer would pass for the second's.
+        fit = [s for s in streams if not s.spent and s not in asked_on and s.load < self.limits.streams]
         best = min(fit, key=lambda s: (s.load, s.connecting), default=None)
         # A store that no connection reaches may have vanished: what waits for one connection learns it
         # together and soon, where a connection each would start the time-out anew for every attempt.
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -90,7 +90,7 @@
     program.process.send_signal(signal.SIGTERM)
     client.call(2, "isWell", 1, codec.IsWellArgs(unused=True))
     until(client.answers)
-    cache.say(f"{request} data n=HIT 5\r\nhello\r\n".encode())
+    cache.say(f"{request} data version=aa,stamp=1,n=HIT 5\r\nhello\r\n".encode())
     until(lambda: len(client.answers()) == 2)
     assert client.answers()[1] == (1, "success", {}, b"hello")
     assert program.process.wait(30) == 0
@@ -179,7 +179,7 @@
     client = forwarder.client()
     client.call(1)
     request = until(cache.line).split(" ")[1]
-    cache.say(f"{request} data n=HIT 5\r\nhello\r\n".encode())
+    cache.say(f"{request} data version=aa,stamp=1,n=HIT 5\r\nhello\r\n".encode())
     assert until(client.answers) == [(1, "success", {}, b"hello")]
     # A read is refused with a time to return; an order that went out may have run, so it fails.
     client.call(2, i="00000000000000aa")
--- a/tests/test_signed.py
+++ b/tests/test_signed.py
@@ -62,7 +62,7 @@
 
     def serve(self, word="data", body=b"hi"):
         request = self.until(self.cache.line).split(" ")[1]
-        self.cache.say(f"{request} {word} version=v1,n=HIT {len(body)}\r\n".encode() + body + b"\r\n")
+        self.cache.say(f"{request} {word} version=v1,stamp=1,n=HIT {len(body)}\r\n".encode() + body + b"\r\n")
 
 
 @pytest.fixture
@@ -80,7 +80,7 @@
     client = stage.ask(stage.link(), If_None_Match='"v1"')
     line = stage.until(stage.cache.line)
     assert "holds=v1" in line
-    stage.cache.say(f"{line.split(' ')[1]} unchanged version=v1,n=HIT 0\r\n\r\n".encode())
+    stage.cache.say(f"{line.split(' ')[1]} unchanged version=v1,stamp=1,n=HIT 0\r\n\r\n".encode())
     assert stage.status(client) == 304
 
 
@@ -138,7 +138,7 @@
     client = stage.ask(link)
     request = stage.until(stage.cache.line).split(" ")[1]
     clock[0] += 14  # past the expiry and the leeway
-    stage.cache.say(f"{request} data version=v1,n=MISS 2\r\nhi\r\n".encode())
+    stage.cache.say(f"{request} data version=v1,stamp=1,n=MISS 2\r\nhi\r\n".encode())
     assert stage.status(client) == 200
     assert stage.status(stage.ask(link)) == 403
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -91,7 +91,7 @@
     stage.until(stage.cache.line)
     client.call(4, "forget", 4, codec.ForgetArgs(seqid=3))
     assert stage.until(stage.cache.line) == f"abort {REQUEST}"
-    stage.cache.say(f"{REQUEST} data version=aa,n=HIT 2\r\nhi\r\n".encode())
+    stage.cache.say(f"{REQUEST} data version=aa,stamp=1,n=HIT 2\r\nhi\r\n".encode())
     client.call(5, "isWell", 1, codec.IsWellArgs(unused=True))
     assert [a[:2] for a in stage.until(client.answers)] == [(5, "success")]
 
@@ -228,7 +228,8 @@
     client.call(2, i="00000000000000aa")
     assert "00000000000000aa" in stage.until(stage.cache.line)
     for request in (REQUEST, "00000000000000aa"):
-        stage.cache.say(f"{request} data n=HIT 2\r\nhi\r\n".encode(), conn=0 if request == REQUEST else -1)
+        answer = f"{request} data version=aa,stamp=1,n=HIT 2\r\nhi\r\n".encode()
+        stage.cache.say(answer, conn=0 if request == REQUEST else -1)
     stage.until(lambda: len(client.answers()) == 2)
     stage.until(lambda: not stage.gateway.loop.running)
     assert {a[1] for a in client.answers()} == {"success"}
@@ -320,3 +321,101 @@
     stage.until(lambda: "board_lost" in stage.names())
     assert stage.board.poll().count(b"GET ") == 1
     stage.until(lambda: stage.board.poll().count(b"GET ") == 2)
+
+
+@pytest.mark.parametrize("answer", [
+    "data - 2\r\nhi\r\n", "data version=aa,n=HIT 2\r\nhi\r\n", "data version=a a,stamp=1 2\r\nhi\r\n",
+    "data version=aa,stamp=x 2\r\nhi\r\n", "data version=aa,stamp 2\r\nhi\r\n",
+    "unchanged version=aa,stamp=1 0\r\n\r\n", "full - 2\r\nhi\r\n"])
+def test_an_answer_without_what_it_promises_is_spoilt_and_asked_for_again(stage, answer):
+    client = stage.client()
+    client.call()
+    stage.until(stage.cache.line)
+    stage.cache.say(f"{REQUEST} {answer}".encode())
+    stage.until(lambda: "store_broken_answer" in stage.names())
+    assert REQUEST in stage.until(stage.cache.line)  # on a new connection
+    stage.cache.say(f"{REQUEST} data version=aa,stamp=1,n=HIT 2\r\nok\r\n".encode())
+    assert stage.until(client.answers) == [(1, "success", {}, b"ok")]
+
+
+def test_an_answer_that_stops_short_is_not_waited_for(stage):
+    client = stage.client()
+    client.call(d="60000")
+    stage.until(stage.cache.line)
+    stage.cache.say(f"{REQUEST} data version=aa,stamp=1,n=HIT 20\r\nhalf of".encode())
+    assert REQUEST in stage.until(stage.cache.line)
+    assert ("store_broken_answer", {"store": "s-00000001", "line": "an answer stops short"}) in stage.logged
+
+
+def test_a_good_answer_before_an_unreadable_line_still_counts(stage):
+    client = stage.client()
+    client.call()
+    stage.until(stage.cache.line)
+    stage.cache.say(f"{REQUEST} data version=aa,stamp=1,n=HIT 2\r\nhi\r\n\x01\x02\r\n".encode())
+    assert stage.until(client.answers) == [(1, "success", {}, b"hi")]
+    assert "store_broken_answer" in stage.names()
+
+
+def test_a_second_answer_or_one_under_an_unknown_id_is_passed_over(stage):
+    client, good = stage.client(), "data version=aa,stamp=1,n=HIT 2\r\nhi\r\n"
+    client.call()
+    stage.until(stage.cache.line)
+    stage.cache.say(f"00000000000000ff {good}{REQUEST} {good}{REQUEST} {good}".encode())
+    stage.until(client.answers)
+    client.call(2, i="00000000000000aa")
+    line = stage.until(stage.cache.line)
+    stage.cache.say(f"{line.split(' ')[1]} {good.replace('hi', 'ho')}".encode())
+    stage.until(lambda: len(client.answers()) == 2)
+    assert [a[3] for a in client.answers()] == [b"hi", b"ho"]
+    assert "store_broken_answer" not in stage.names()
+
+
+def test_an_id_is_never_asked_twice_on_one_connection(stage):
+    client = stage.client()
+    client.call()
+    stage.until(stage.cache.line)
+    stage.cache.say(f"{REQUEST} full - 0\r\n\r\n".encode())
+    assert REQUEST in stage.until(stage.cache.line)
+    assert len(stage.cache.conns) == 2
+
+
+def test_a_connection_whose_answer_never_came_is_asked_nothing_more(stage):
+    client = stage.client()
+    client.call(d="200")
+    stage.until(stage.cache.line)
+    assert stage.until(client.answers)[0][1] == "refused"
+    client.call(2, i="00000000000000aa")
+    stage.until(lambda: b"00000000000000aa" in stage.cache.poll())
+    assert len(stage.cache.conns) == 2
+    stage.until(lambda: not any(s.spent for s in stage.gateway.pool._stores[1]))  # closed once it is empty
+
+
+def test_an_attempt_that_the_system_would_not_take_never_ran(stage):
+    client = stage.client()
+    client.call(1)
+    stage.until(stage.cache.line)
+    stage.cache.say(f"{REQUEST} full - 0\r\n\r\n".encode())
+    stage.until(lambda: stage.gateway.pool._stores[1][0].load == 0)
+    for streams in stage.gateway.pool._stores.values():
+        for stream in streams:
+            stream.sock.shutdown(2)  # the next write fails at once, before the loop learns of it
+    stage.cache.sock.close()
+    stage.gateway.front._accept(1)
+    client.call(2, i="00000000000000aa", c="commande")
+    for _ in range(3):  # without the stores' sockets, so that the write comes first
+        for mine in list(stage.gateway.front.clients):
+            mine.read()
+        stage.gateway.decide()
+    assert stage.until(lambda: [a for a in client.answers() if a[0] == 2])[0][1] == "refused"
+
+
+def test_numbers_that_do_not_count_upward_and_requests_that_lack_a_field_are_not_served(stage):
+    client = stage.client()
+    fields = {"c": "fichiers", "i": REQUEST, "o": OBJECT, "d": "5000", "n": "0", "m": "1", "shard": "17"}
+    for number, name in enumerate(fields, 1):
+        client.call(number, args=codec.ServeArgs(fields={k: v for k, v in fields.items() if k != name}))
+    stage.until(lambda: len(client.answers()) == 7)
+    assert [a[1] for a in client.answers()] == ["fault"] * 7
+    client.call(7)
+    stage.until(lambda: client.poll() is not None and client.closed)
+    assert stage.cache.line() is None
