--- a/olivecourse/choice.py
+++ b/olivecourse/choice.py
@@ -311,8 +311,7 @@
     def _judge(self, end: w.AttemptEnded, held: Held, node: Node, source: Node | None) -> None:
         """Moves the pain of the cache and of its source by how the attempt ended."""
         note, lag, busy = end.note, end.latency_ns or 0, len(node.out) + 1 >= node.limit / 2
-        if self._of_source(end, held, source) or (source is not None and lag > held.aim
-                                                  and end.status in (w.Status.CANCELLED, w.Status.TIMEOUT)):
+        if self._of_source(end, held, source):  # one whose answer was lost tells nothing of fills
             self._fill(held, False)
         if end.status in (w.Status.CANCELLED, w.Status.NOT_SENT, w.Status.MISS):
             return
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -410,3 +410,13 @@
         d.event(w.ClientLeft(d.id))
         d.end(w.Status.CANCELLED)
     assert used == {second}
+
+
+@pytest.mark.parametrize("status", [w.Status.CANCELLED, w.Status.TIMEOUT])
+def test_answers_that_never_come_do_not_hold_fills_back(drive, status):
+    d = drive()
+    for i in range(40):
+        d.ask(f"{i:016x}")
+        d.event(w.ClientLeft(d.id))
+        d.end(status, after=2 * S)
+    assert min(d.router.fills) > 1.0
