--- a/olivecourse/choice.py
+++ b/olivecourse/choice.py
@@ -49,6 +49,7 @@
 RICH = 1.25  # limits are stretched by this for requests of more worth for their sending time than usual
 ASK_AGAIN_NS = 1_000 * MS  # between calls for the list after a failed one: discovery is easily crowded
 REPEAT_ROOM = 0.5  # part of the room that a client's repeat may use: it is likely late already
+MOST_ERRORS = 3  # plain errors, one after the other, that tell of a bad request rather than of bad caches
 QUICK_NS = 5 * MS  # a cache of the own zone refuses by itself within this; any source is further off
 FILL_CUT, FILL_STEP = 0.95, 0.01  # settles where a sixth of the fills are late
 LEAST_FILLS, MOST_FILLS = 0.1, 1.5  # room above one: a few late fills on a calm day refuse nothing
@@ -273,6 +274,8 @@
     def _give_up(self, held: Held) -> None:
         """The final answer, at once: a refusal where a new try is harmless, else a failure."""
         self.acts += [w.Cancel(held.ask.request, attempt) for attempt in held.out if self.s.cancel]
+        if len(held.errors) < MOST_ERRORS:  # else no store can use it, and none is to blame
+            self._blame(held.errors)
         harmless = (held.cls.effect is w.Effect.IDEMPOTENT or not held.ran
                     or held.cls.effect is w.Effect.DEDUPLICATED and held.cls.key_scope is w.Scope.ALL)
         # As late as clients heed: the aim is gone by then, and an early repeat only crowds out others.
@@ -298,6 +301,8 @@
             del self.held[end.request]
         elif end.status is w.Status.MISS and source is None:
             self._give_up(held)  # it was only to take a hit
+        elif len(held.errors) >= MOST_ERRORS:
+            self._give_up(held)
         elif not held.out:
             of_source = self._of_source(end, held, source)
             if of_source:
@@ -327,6 +332,7 @@
             if note == w.Note.HIT and not held.ask.size_kb:
                 self.size_ns[cls] += LEARN * (min(lag, aim) - self.size_ns[cls])
                 self.slow_hit[cls] = slow + TAIL_STEP * aim * ((lag > slow) - TAIL)
+            self._blame(held.errors)  # it was not the request
             self._hurt(node, hurt, GAIN)
             if source is not None and note not in (w.Note.HIT, w.Note.STALE):
                 self._hurt(source, hurt, GAIN)
@@ -336,12 +342,19 @@
         if end.status is w.Status.FULL and busy and lag <= QUICK_NS:
             self._limit(node, FULL_CUT)
         if self._of_source(end, held, source):
-            self._hurt(source or node, 1.0, FAIL_GAIN)
+            hurts = [(source or node, FAIL_GAIN)]
         elif end.status is w.Status.CONNECT_FAILED or source is None:
-            self._hurt(node, 1.0, BROKEN_GAIN)
+            hurts = [(node, BROKEN_GAIN)]
         else:  # the cache's fault, its source's, or one lost answer; of a death, connections will tell
-            self._hurt(node, 1.0, FAIL_GAIN / 2)
-            self._hurt(source, 1.0, FAIL_GAIN / 2)
+            hurts = [(node, FAIL_GAIN / 2), (source, FAIL_GAIN / 2)]
+        if end.status is w.Status.ERROR and not end.note and held.cls.effect is w.Effect.IDEMPOTENT:
+            held.errors.append(hurts)  # or the request's own: what comes of it elsewhere will tell
+        else:
+            self._blame([hurts])
+
+    def _blame(self, errors: list[list[tuple[Node, float]]]) -> None:
+        for node, gain in [hurt for hurts in errors for hurt in hurts]:
+            self._hurt(node, 1.0, gain)
 
     def _fill(self, held: Held, timely: bool) -> None:
         was = self.fills[held.ask.cls]
--- a/olivecourse/state.py
+++ b/olivecourse/state.py
@@ -40,6 +40,7 @@
     out: dict[int, tuple[Node, Node | None]] = field(default_factory=dict)
     ran: list[tuple[int, Node]] = field(default_factory=list)  # attempts that might have run, by send time
     tried: list[int] = field(default_factory=list)
+    errors: list[list[tuple[Node, float]]] = field(default_factory=list)  # whom each hurts, if it counts
     bad: list[Node | None] = field(default_factory=list)
 
     @property
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -420,3 +420,23 @@
         d.event(w.ClientLeft(d.id))
         d.end(status, after=2 * S)
     assert min(d.router.fills) > 1.0
+
+
+def test_a_request_that_nobody_can_use_hurts_no_store_and_is_given_up(drive):
+    d = drive()
+    for i in range(8):
+        acts, made = d.ask(f"{i:016x}"), 0
+        while sends(acts):
+            acts, made = d.end(w.Status.ERROR, attempt=made, closed=False), made + 1
+        assert made == 3 and isinstance(finals(acts)[0], w.Refuse)
+    assert not any(n.pain for n in d.router.nodes.values())
+
+
+def test_an_error_counts_once_the_request_was_served_elsewhere(drive):
+    d = drive()
+    d.ask()
+    (first,) = [n for n in d.router.nodes.values() if n.out]
+    d.end(w.Status.ERROR, closed=False)
+    assert not first.pain
+    d.end(w.Status.SERVED, attempt=1)
+    assert first.pain
