Forget stores that are gone, and tie a pool to its store's address

Seen in the code, not as a loss: names, addresses, states, members and starts of every store ever told stayed in the Directory, and connections of a store that moved went on being used, at an address that may be another's by then. At fault: Directory._pool and _member in notices.py, Pool._pick in stores.py. Conclusion: bounded by what is in service; the tests fail without it.

--- a/olivecourse/net/stores.py
+++ b/olivecourse/net/stores.py
@@ -72,7 +72,7 @@
     """One connection: many requests, answers in any order."""
 
     def __init__(self, pool: Pool, cache: int, address: Address) -> None:
-        self.pool, self.cache = pool, cache
+        self.pool, self.cache, self.address = pool, cache, address
         self.waiting: deque[Attempt] = deque()
         self.out: dict[str, Attempt] = {}
         self.spent = False  # an answer never came: nothing new is asked here, and it ends when it is empty
@@ -245,7 +245,7 @@
                  f"patience={left}"]
         if isinstance(act, w.ReadThrough):
             if attempt.source is not None:
-                named.append(f"fetch={names[attempt.source]}")
+                named.append(f"fetch={names[attempt.source]}")  # which may_go has just found ready
             if act.rank:
                 named.append(f"retain={act.rank}")
             if act.max_age_ns:
@@ -273,9 +273,13 @@
     def _pick(self, attempt: Attempt) -> StoreStream | None:
         """The least busy connection that was never asked this id; a new one while there is room."""
         cache, asked_on = attempt.action.cache, attempt.entry.asked_on
+        address = self.directory.addresses.get(cache)
+        if address is None:
+            return None
         streams = self._stores.setdefault(cache, [])
         # Never twice on one connection: a second copy of the first answer would pass for the second's.
-        fit = [s for s in streams if not s.spent and s not in asked_on and s.load < self.limits.streams]
+        fit = [s for s in streams if not s.spent and s.address == address and s not in asked_on
+               and s.load < self.limits.streams]
         best = min(fit, key=lambda s: (s.load, s.connecting), default=None)
         # A store that no connection reaches may have vanished: what waits for one connection learns it
         # together and soon, where a connection each would start the time-out anew for every attempt.
@@ -286,9 +290,6 @@
             return best
         if self.count >= self.limits.total + self.limits.per_store:
             return best
-        address = self.directory.addresses.get(cache)
-        if address is None:
-            return None
         try:
             stream = StoreStream(self, cache, address)
         except OSError as error:
@@ -323,9 +324,10 @@
         """Closes connections before the store would: a request that crosses such a close may have run."""
         now = self.loop.clock.now()
         for cache, streams in list(self._stores.items()):
-            gone = self.directory.states.get(cache) is w.State.GONE
+            gone = cache not in self.directory.states
             for stream in list(streams):
-                if not stream.load and (gone or now - stream.idle_since > self.limits.idle_ns):
+                old = gone or stream.spent or stream.address != self.directory.addresses.get(cache)
+                if not stream.load and (old or now - stream.idle_since > self.limits.idle_ns):
                     stream.close("idle")
             if not streams:
                 del self._stores[cache]
--- a/olivecourse/notices.py
+++ b/olivecourse/notices.py
@@ -37,7 +37,7 @@
         self.states: dict[int, w.State] = {}
         self.members: dict[int, w.Member] = {}
         self.ended: dict[int, int] = {}  # stores that died, and when at the latest
-        self.started: dict[int, int] = {}
+        self.started: dict[int, tuple[int, int]] = {}  # by store: its start as told, and on our clock
 
     def ready(self, cache: int) -> bool:
         return self.states.get(cache) is w.State.READY
@@ -59,20 +59,26 @@
         members = [self._member(m) for m in pool.get("members", ())]
         if whole:  # what a whole list does not name has been removed
             for cache in set(self.states) - {m.cache for m in members}:
-                self.states[cache] = w.State.GONE
-                self.ended[cache] = self._now()
+                self._forget(cache)
             self.members.clear()
         for m in members:
             known = self.members.get(m.cache)
             if m.state is w.State.GONE:
-                self.ended[m.cache] = self._now()
-            elif known is not None and m.ready_at_ns and m.ready_at_ns != known.ready_at_ns:
+                self._forget(m.cache)
+                continue
+            if known is not None and m.ready_at_ns and m.ready_at_ns != known.ready_at_ns:
                 self.ended[m.cache] = m.ready_at_ns
             self.states[m.cache] = m.state
             self.members[m.cache] = m
         kind = w.ListKind.HELD if first else w.ListKind.FULL if whole else w.ListKind.CHANGES
         return w.CacheList(int(pool.get("revision", 0)), kind, tuple(members))
 
+    def _forget(self, cache: int) -> None:
+        """A store that is gone leaves nothing behind: its successor has another id, perhaps its address."""
+        self.ended[cache] = self._now()
+        for known in (self.names, self.addresses, self.states, self.members, self.started):
+            known.pop(cache, None)
+
     def _member(self, m: Any) -> w.Member:
         name, state = str(m["id"]), STATES[m["phase"]]
         cache = node_number(name)
@@ -82,9 +88,10 @@
             self.addresses[cache] = parse_address(m["host_port"])
         up = int(m.get("up_since_ms") or 0)
         # Told again, a start keeps its place on our clock: else a step of the system's clock looks like one.
-        start = self.started.get(up) if up else 0
-        if start is None:
-            start = self.started[up] = max(self._from_unix_ms(up), 1)
+        told, start = self.started.get(cache, (0, 0))
+        if up != told:
+            start = max(self._from_unix_ms(up), 1) if up else 0
+            self.started[cache] = (up, start)
         return w.Member(cache, float(m.get("size") or 1), start,
                         _place(self._zones, m.get("locality")), state,
                         None if m.get("cell") is None else int(m["cell"]),
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -419,3 +419,36 @@
     client.call(7)
     stage.until(lambda: client.poll() is not None and client.closed)
     assert stage.cache.line() is None
+
+
+@with_board
+def test_stores_that_are_replaced_day_long_leave_nothing_behind(stage):
+    stage.until(lambda: b"watch=1&" in stage.board.poll())
+    directory, rev = stage.gateway.directory, 1
+    tables = (directory.names, directory.addresses, directory.states, directory.members, directory.started)
+    before = [len(t) for t in tables[:4]]
+    for number in range(20):
+        for phase in ("Ready", "Terminating", "Gone"):
+            rev += 1
+            news = member(f"s-000001{number:02x}", stage.cache.address, phase=phase,
+                          up_since_ms=10**12 + number)
+            stage.tell(rev, pool={"revision": rev, "complete": False, "members": [news]})
+            stage.until(lambda rev=rev: f"watch={rev}&".encode() in stage.board.poll())
+    assert [len(t) for t in tables[:4]] == before and not directory.started
+    assert len(stage.gateway.local._router.nodes) == 3
+
+
+@with_board
+def test_a_store_that_has_moved_is_asked_at_its_new_address_only(stage):
+    stage.until(lambda: b"watch=1&" in stage.board.poll())
+    client, moved = stage.client(), Peer()
+    stage.peers.append(moved)
+    client.call()
+    stage.until(stage.cache.line)
+    stage.cache.say(f"{REQUEST} data version=aa,stamp=1,n=HIT 2\r\nhi\r\n".encode())
+    stage.until(client.answers)
+    stage.tell(2, pool={"revision": 2, "complete": False, "members": [member("s-00000001", moved.address)]})
+    stage.until(lambda: b"watch=2&" in stage.board.poll())
+    client.call(2, i="00000000000000aa")
+    assert "00000000000000aa" in stage.until(moved.line)
+    assert b"00000000000000aa" not in stage.cache.poll()
