--- a/tests/test_signed.py
+++ b/tests/test_signed.py
@@ -263,3 +263,22 @@
     assert said in str(error.value) and "\n" not in str(error.value)
 
 
+
+
+def test_a_reload_takes_new_keys_and_lets_no_order_token_be_shown_twice(stage):
+    stage.tokens._clock = lambda: time.time() + 5
+    token = stage.order()
+    stage.ask(ORDER, "POST", b"a dozen", authorization=f"Bearer {token}")
+    stage.until(stage.cache.line)
+    (stage.folder / "keys.json").write_text(json.dumps({"union": {"keys": [jwk("k1"), jwk("k3")]}}))
+    operator = stage.folder / "operator.yaml"
+    operator.write_text(operator.read_text().replace("leeway_s: 3", "leeway_s: 30"))
+    stage.gateway.reload(load_operator(str(operator), {}))
+    assert set(stage.tokens.keys) == {"k1", "k3"} and stage.tokens.leeway_s == 3
+    assert ("reloaded", {"moved": [], "needs_restart": ["signed"]}) in stage.logged
+    assert stage.status(stage.ask(ORDER, "POST", b"a dozen", authorization=f"Bearer {token}")) == 401
+    assert ("token_rejected", {"status": 401, "why": "used already"}) in stage.logged
+    (stage.folder / "keys.json").write_text("{")
+    with pytest.raises(ValueError):
+        stage.gateway.reload(load_operator(str(operator), {}))
+    assert set(stage.tokens.keys) == {"k1", "k3"}
