Remember across restarts what a gateway had learned, and which order tokens are spent

Need: a gateway that starts again knows of no failing box, no late fills, no hot object and no used order token, and learns it all by sending requests into the trouble.

Change: a package `olivecourse/memory/`.

The module asks once for each store it is first told of (`Router.recall`); cold budgets are priced apart (`price_ns`), so that no memory can stretch them.

--- a/olivecourse/choice.py
+++ b/olivecourse/choice.py
@@ -100,6 +100,8 @@
         self.retries, self.held_back = RETRY_BURST, False
         # Learned mean sending times; the start is high, as the cold budget must not be underestimated.
         self.size_ns = [float(c.aim_ns) for c in settings.classes]
+        self.price_ns = list(self.size_ns)  # the same for cold budgets, which no memory may stretch
+        self.recall: Callable[[Node], None] = lambda unused: None  # a memory's say on a node first told of
         self.slow_hit = [0.0] * len(settings.classes)  # what hits take at most, where sizes are not told
         self.density = 0.0  # recent mean worth for a nanosecond of sending
         self.hears: dict[type, Callable[[Any], object]] = {
@@ -124,7 +126,7 @@
         self.density += LEARN * (cls.worth / size - self.density)
         if ask.size_kb and self.s.client_kb_per_s:
             size = ask.size_kb / self.s.client_kb_per_s * 1e9
-            self.size_ns[ask.cls] += LEARN * (size - self.size_ns[ask.cls])
+            self._learn(ask.cls, size)
         budget = cls.deadline_ns if ask.budget_ns is None else ask.budget_ns
         # Departure: caches keep each part by itself, so each part is an object of its own on the ring.
         key = ask.object or ask.request
@@ -143,6 +145,10 @@
         self.retries = min(self.retries + RETRY_SHARE, RETRY_BURST)
         self._send(held)
 
+    def _learn(self, cls: int, size: float) -> None:
+        for means in (self.size_ns, self.price_ns):
+            means[cls] += LEARN * (size - means[cls])
+
     def _retune(self) -> None:
         pairs = self.counter.frequent(SUPPORT)
         self.counts = dict(pairs)
@@ -223,7 +229,7 @@
         node.out[key] = self.now
         for n in (node, source) if source is not node else (node,):
             if n is not None:
-                n.credit -= self.size_ns[held.ask.cls]
+                n.credit -= self.price_ns[held.ask.cls]
         if node in self.origins:  # it never lacks anything
             self.acts.append(w.Look(key[0], node.member.cache, left))
             return
@@ -260,7 +266,7 @@
         # Credit grows by this router's part of what the node can surely bear, from a random start, and buys
         # a transfer when it is worth the largest: routers come in turn even where a part is far below one.
         rate = COLD_SAFETY * multiple * (floor + (1 - floor) * age / ramp) * (m.weight or 1.0) / node.seats
-        largest = max(self.size_ns)
+        largest = max(self.price_ns)
         node.credit = min(node.credit + rate * (self.now - node.credit_at), largest)
         node.credit_at = self.now
         return node.credit >= largest
@@ -330,7 +336,7 @@
             if busy and not note.filled:  # else it was not load that decided
                 self._limit(node, LATE_CUT if lag > aim else None, bool(note))
             if note == w.Note.HIT and not held.ask.size_kb:
-                self.size_ns[cls] += LEARN * (min(lag, aim) - self.size_ns[cls])
+                self._learn(cls, min(lag, aim))
                 self.slow_hit[cls] = slow + TAIL_STEP * aim * ((lag > slow) - TAIL)
             self._blame(held.errors)  # it was not the request
             self._hurt(node, hurt, GAIN)
@@ -373,12 +379,15 @@
         return source is not None and (end.note.of_source or not end.note and lag > far)
 
     def _pain(self, node: Node) -> float:
-        return float(node.pain * 0.5 ** ((self.now - node.pain_at) / PAIN_HALF_NS))
+        return float(node.pain * 0.5 ** (max(self.now - node.pain_at, 0) / PAIN_HALF_NS))
 
     def _hurt(self, node: Node, amount: float, gain: float) -> None:
         pain = self._pain(node)
         gain = 1 - (1 - gain) ** min(node.seats, SPEAKS_FOR) if gain == GAIN else gain
-        node.pain, node.pain_at = pain + gain * (amount - pain), self.now
+        gain, node.taught = max(gain, node.taught), node.taught / 2  # answers soon overrule a memory
+        # What a memory says of the node holds on until its time, or an answer that speaks against it.
+        node.pain_at = max(node.pain_at, self.now) if amount > SLACK else self.now
+        node.pain = pain + gain * (amount - pain)
         if (node.pain > (SLACK if node.failing else DEAD)) != node.failing:
             node.failing = not node.failing
             self.acts.append(w.Log(f"cache {node.member.cache} {('serves again', 'fails')[node.failing]}"))
@@ -436,7 +445,8 @@
                 told = (m.weight or 1.0) if self.s.weights != "silent" else UNTOLD_WEIGHT
                 first = max(FIRST_LIMIT * told / seats, LEAST_LIMIT)
                 self.nodes[m.cache] = Node(m, seats, heard=self.now, limit=first, credit_at=self.now,
-                                           credit=self.random.random() * max(self.size_ns, default=0.0))
+                                           credit=self.random.random() * max(self.price_ns, default=0.0))
+                self.recall(self.nodes[m.cache])
             else:
                 was.member = m
                 self.nodes[m.cache] = was
--- a/olivecourse/cli.py
+++ b/olivecourse/cli.py
@@ -16,7 +16,7 @@
 from olivecourse import logs
 from olivecourse.config import BadConfig, Config, load_config, load_operator
 
-VERSION = "0.2.0"
+VERSION = "0.3.0"
 
 
 def _load(path: str | None, operator: str | None) -> Config:
@@ -27,7 +27,21 @@
         sys.exit(2)
 
 
-@click.group(invoke_without_command=True)
+class Lazy(click.Group):
+    """Finds `memory` only when it is called: its libraries are not for a gateway's start."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted([*super().list_commands(ctx), "memory"])
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        if cmd_name == "memory":
+            from olivecourse.memory.commands import memory
+
+            return memory
+        return super().get_command(ctx, cmd_name)
+
+
+@click.group(cls=Lazy, invoke_without_command=True)
 @click.pass_context
 def main(context: click.Context) -> None:
     """The gateway for cache boxes that fill from hub caches and an archive."""
@@ -94,7 +108,8 @@
 def version() -> None:
     """Print the versions of the program and of the libraries it stands on."""
     click.echo(f"olivecourse {VERSION}")
-    for name in ("thrift", "httptools", "structlog", "click", "PyJWT", "cryptography"):
+    for name in ("thrift", "httptools", "structlog", "click", "PyJWT", "cryptography", "msgspec", "protobuf",
+                 "lmdb", "blake3"):
         click.echo(f"{name} {metadata.version(name)}")
 
 
--- a/olivecourse/config.py
+++ b/olivecourse/config.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import yaml
 
@@ -15,6 +15,9 @@
 from olivecourse.net.stream import Address, parse_address
 from olivecourse.settings import Malformed, nested_pairs, read_settings
 
+if TYPE_CHECKING:
+    from olivecourse.memory.section import MemoryConfig
+
 
 class BadConfig(Exception):
     """A configuration that the gateway can't start with."""
@@ -50,6 +53,7 @@
     signed: Signed | None = None
     inventory: str | None = None
     planner: str | None = None  # the socket of a planner in a process of its own
+    memory: MemoryConfig | None = None  # where what was learned survives a restart
 
 
 def _address(raw: Mapping[str, Any], name: str) -> Address | None:
@@ -109,6 +113,18 @@
         raise BadConfig(f"{path}: {error}") from None
 
 
+def _memory(path: str, raw: dict[str, Any]) -> MemoryConfig | None:
+    if raw.get("memory") is None:
+        return None
+    from olivecourse.memory.section import read_memory  # only here: the platform needs none of its libraries
+    from olivecourse.sections import BadSection
+
+    try:
+        return read_memory(path)
+    except BadSection as error:
+        raise BadConfig(str(error)) from None
+
+
 def load_operator(path: str, env: Mapping[str, str]) -> Config:
     """An operator's file: YAML that names an inventory, the settings and, if wanted, the signed front."""
     try:
@@ -139,8 +155,9 @@
         notice = read_inventory(inventory, config.zones, config.kinds)
         planner = raw.get("planner")
         return replace(config, signed=front, inventory=inventory, notices=[notice, *config.notices],
-                       planner=str(here / planner) if planner else None)
+                       planner=str(here / planner) if planner else None, memory=_memory(path, raw))
     except (BadConfig, BadInventory) as error:
-        raise BadConfig(f"{path}: {error}") from None
+        text = str(error)  # which may name the file and a line of it already
+        raise BadConfig(text if text.startswith(f"{path}:") else f"{path}: {text}") from None
     except (OSError, ValueError, TypeError) as error:
         raise BadConfig(f"{path}: cannot read a value: {error}") from None
--- a/olivecourse/core/planner.py
+++ b/olivecourse/core/planner.py
@@ -13,17 +13,17 @@
 
     def __init__(self, settings: w.Settings, now: int, log: Callable[..., None]) -> None:
         self._now, self._log = now, log
-        self._router = Router(settings, now)
+        self.router = Router(settings, now)
 
     def start(self) -> list[w.Action]:
-        return self._router.start()
+        return self.router.start()
 
     def decide(self, events: Iterable[w.Event], now: int) -> list[w.Action]:
         self._now = max(self._now, now)
         actions: list[w.Action] = []
         for event in events:
             try:
-                actions += self._router.handle(event, self._now)
+                actions += self.router.handle(event, self._now)
             except Exception as error:  # one event's fault must not take the gateway down; guards answer
                 self._log("router_fault", event_type=type(event).__name__, error=repr(error))
         return actions
--- a/olivecourse/fronts/signed.py
+++ b/olivecourse/fronts/signed.py
@@ -45,7 +45,7 @@
     """The place of one answer; `mark` is the order token that it used up."""
 
     def __init__(self, client: SignedClient, keep: bool, mark: str | None) -> None:
-        self._client, self._keep, self._mark = client, keep, mark
+        self._client, self._keep, self.mark = client, keep, mark
 
     def served(self, body: bytes, tag: str | None, same: bool) -> None:
         headers = [f'ETag: "{tag}"'] if tag else []
@@ -55,8 +55,8 @@
             self._client.answer(200, body, [*headers, "Content-Type: application/octet-stream"], self._keep)
 
     def refused(self, wait_ns: int) -> None:
-        if self._mark is not None:
-            self._client.front.tokens.release(self._mark)
+        if self.mark is not None:
+            self._client.front.tokens.spent.release(self.mark)
         self._client.answer(503, b"", [f"Retry-After: {max(-(-wait_ns // (1000 * MS)), 1)}"], self._keep)
 
     def failed(self, late: bool) -> None:
@@ -143,8 +143,29 @@
             wait = ["Retry-After: 1"] if bad.status == 503 else []
             self.answer(bad.status, f"{bad.reason}\n".encode(), challenge + wait, asked.keep)
             return
-        self.open_request = ask.request
         self.taken += 1
+        since = self.loop.clock.now()
+
+        def goes(durable: bool) -> None:
+            """The order's token is recorded, or it could not be: then nothing was sent."""
+            self.front.recording -= 1
+            if not self.open:  # nobody waits for it any more, and it never went
+                self.front.tokens.spent.release(reply.mark or "")
+                return
+            if ask.budget_ns is not None:
+                ask.budget_ns -= self.loop.clock.now() - since
+            if durable and (ask.budget_ns is None or ask.budget_ns > 0):
+                self._hand_over(ask, body, holds, reply)
+            else:
+                reply.refused(self.front.wait_ns)
+
+        if reply.mark is None or self.front.tokens.spent.when_durable(reply.mark, goes):
+            self._hand_over(ask, body, holds, reply)
+        else:
+            self.front.recording += 1
+
+    def _hand_over(self, ask: w.Request, body: bytes, holds: str | None, reply: SignedReply) -> None:
+        self.open_request = ask.request
         try:
             self.front.core.take(ask, body, holds, reply)
         except (Crowded, Duplicate):
@@ -184,11 +205,15 @@
                  deadlines_ms: list[int], tokens: Tokens, public: str, wait_ns: int, most: int, unread: int,
                  log: Callable[..., None]) -> None:
         self.tokens, self._deadlines, self._public = tokens, deadlines_ms, public.rstrip("/")
+        self.recording = 0  # orders whose tokens are on their way to disk
         super().__init__(loop, address, core, classes, wait_ns, most, unread, log)
 
     def client(self, sock: socket.socket) -> Client:
         return SignedClient(self, sock)
 
+    def flushed(self) -> bool:
+        return not self.recording and super().flushed()
+
     def read(self, client: SignedClient,
              asked: Asked) -> tuple[SignedReply, w.Request, bytes, str | None]:
         """The request, with its token checked: once, here, and never again while it is served."""
--- a/olivecourse/fronts/tokens.py
+++ b/olivecourse/fronts/tokens.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 from urllib.parse import urlsplit, urlunsplit
 
 import jwt
@@ -106,14 +106,51 @@
         return False
 
 
+class SpentTokens(Protocol):
+    """Where it is kept which order tokens are used up."""
+
+    covered_since: float  # Unix seconds: what was spent before may be forgotten
+
+    def spend(self, name: str, exp: float, now_s: float) -> None:
+        """Raises Rejected if the token is used, or cannot be recorded."""
+
+    def release(self, name: str) -> None:
+        """Its order never ran: it may be shown once more."""
+
+    def when_durable(self, name: str, call: Callable[[bool], object]) -> bool:
+        """Whether the order may go now; else `call` is told whether it may."""
+
+
+class SpentInMemory:
+    """For one life of a gateway: what was spent before its start is forgotten, and so void."""
+
+    def __init__(self, started: float, leeway_s: float) -> None:
+        self.covered_since, self._leeway_s = started, leeway_s
+        self._spent: dict[str, float] = {}  # until when they could be shown again
+
+    def spend(self, name: str, exp: float, now_s: float) -> None:
+        if name in self._spent:
+            raise Rejected(401, "used already")
+        if len(self._spent) >= MOST_SPENT:
+            self._spent = {k: until for k, until in self._spent.items() if until > now_s}
+            if len(self._spent) >= MOST_SPENT:  # to forget one would let it be used again
+                raise Rejected(503, "too many orders")
+        self._spent[name] = exp + self._leeway_s + 1
+
+    def release(self, name: str) -> None:
+        self._spent.pop(name, None)
+
+    def when_durable(self, name: str, call: Callable[[bool], object]) -> bool:
+        return True
+
+
 class Tokens:
     """Checks tokens for one gateway."""
 
     def __init__(self, gateway: str, keys: dict[str, Key], leeway_s: float,
-                 clock: Callable[[], float] = time.time) -> None:
+                 clock: Callable[[], float] = time.time, spent: SpentTokens | None = None) -> None:
         self.gateway, self.keys, self.leeway_s, self._clock = gateway, keys, leeway_s, clock
-        self._started = clock()
-        self._spent: dict[str, float] = {}  # order tokens used up, until when they could be shown again
+        self.spent: SpentTokens = spent or SpentInMemory(clock(), leeway_s)
 
     def _claims(self, token: str, status: int, needed: list[str], audience: str | None) -> dict[str, Any]:
         if not token or len(token) > MOST_TOKEN:
@@ -181,25 +218,15 @@
         now, jti = self._clock(), claims["jti"]
         if not isinstance(jti, str) or not 8 <= len(jti) <= 128 or not isinstance(claims["aud"], str):
             raise Rejected(401, "jti or aud not usable")
-        # What was spent before a restart is forgotten: whatever may have been shown then is void.
-        if claims["iat"] < self._started + self.leeway_s:
+        # What was spent before is not known: whatever may have been shown then is void.
+        if claims["iat"] < self.spent.covered_since + self.leeway_s:
             raise Rejected(401, "issued before the start")
         if claims["exp"] - claims["iat"] > MOST_ORDER_S:
             raise Rejected(401, "lives too long")
         mark = f"{claims['iss']}\n{jti}"
-        if mark in self._spent:
-            raise Rejected(401, "used already")
-        if len(self._spent) >= MOST_SPENT:
-            self._spent = {k: until for k, until in self._spent.items() if until > now}
-            if len(self._spent) >= MOST_SPENT:  # to forget one would let it be used again
-                raise Rejected(503, "too many orders")
-        self._spent[mark] = claims["exp"] + self.leeway_s + 1
+        self.spent.spend(mark, float(claims["exp"]), now)
         return mark
 
-    def release(self, mark: str) -> None:
-        """The order was refused, which proves that it never ran: its token may be shown once more."""
-        self._spent.pop(mark, None)
-
 
 def issue(key: Key, uri: str, ttl_s: int, now: float, not_before: float | None = None,
           container: str | None = None, **more: Any) -> str:
--- a/olivecourse/gateway.py
+++ b/olivecourse/gateway.py
@@ -29,6 +29,8 @@
 
 if TYPE_CHECKING:
     from olivecourse.fronts.tokens import Tokens
+    from olivecourse.memory.keeper import Keeper
+    from olivecourse.memory.tokenstore import DurableSpent
 
 MS = 1_000_000
 PER_STORE = 24  # connections to one store, as far as the descriptors allow
@@ -72,8 +74,15 @@
                                self.batch.append, log)
         self.remote: RemotePlanner | None = None
         self.local: Planner | None = None
+        self.keeper: Keeper | None = None
         if config.planner is None:
             self.local = Planner(s, loop.clock.now(), log)
+            if config.memory is not None:
+                from olivecourse.memory.keeper import Keeper  # only here: the platform's gateway has no disk
+
+                self.keeper = Keeper(loop, config.memory, config.name, log)
+                self.keeper.adopt(self.local.router)
+                self.keeper.start()
             self.carry_out(self.local.start())
         self.told(config.notices, first=True)
         if config.planner is not None:
@@ -84,6 +93,7 @@
         self._inventory_seen = self._stamp(config.inventory)
         self._keys_seen = self._stamp(config.signed.keys if config.signed else None)
         self.tokens: Tokens | None = None
+        self.spent: DurableSpent | None = None
         self.front: Listener = self._front()
         if config.inventory is not None:
             loop.after(FILES_NS, self._look_at_files)
@@ -103,7 +113,13 @@
         from olivecourse.fronts.signed import SignedFront  # only here: the platform's gateway needs neither
         from olivecourse.fronts.tokens import Tokens, read_keys
 
-        self.tokens = Tokens(config.name, read_keys(config.signed.keys), config.signed.leeway_s)
+        leeway = config.signed.leeway_s
+        keys = read_keys(config.signed.keys)
+        if config.memory is not None and config.memory.section.tokens is not None:
+            from olivecourse.memory.tokenstore import DurableSpent
+
+            self.spent = DurableSpent(self.loop, config.memory, config.name, leeway, self.log)
+        self.tokens = Tokens(config.name, keys, leeway, spent=self.spent)
         return SignedFront(self.loop, config.listen, self.ledger, classes,
                            [c.deadline_ns // MS for c in s.classes], self.tokens, config.signed.public,
                            wait, most, unread, self.log)
@@ -150,7 +166,7 @@
         moved = [name for name in ("board", "peers", "peers_all", "inventory")
                  if getattr(fresh, name) != getattr(old, name)]
         fixed = [name for name in ("name", "settings", "zones", "kinds", "connect_ns", "idle_ns", "streams",
-                                   "sockets", "memory_mb", "peer_listen", "planner")
+                                   "sockets", "memory_mb", "peer_listen", "planner", "memory")
                  if getattr(fresh, name) != getattr(old, name)]
         if fresh.listen != old.listen:
             fixed.append("listen")
@@ -277,6 +293,9 @@
         self.loop.run(self.decide)
         self.log("stopped", open=self.ledger.open, **self.ledger.tally)
         self.front.close()
+        for kept in (self.keeper, self.spent):
+            if kept is not None:
+                kept.stop()
         if self.board is not None:
             self.board.stop()
         if self.remote is not None:
--- a/olivecourse/interface.py
+++ b/olivecourse/interface.py
@@ -185,6 +185,7 @@
     state: State = State.READY
     cell: int | None = None
     kind: int | None = None
+    life: str = ""  # address and start as told: what another life of the same id differs in
 
 
 # Events and actions are not frozen: they are made by the thousand, and a frozen one takes thrice as long.
--- a/olivecourse/logs.py
+++ b/olivecourse/logs.py
@@ -7,7 +7,15 @@
 from collections.abc import Callable, MutableMapping
 from typing import Any
 
-import structlog
+# structlog takes rich wherever it is installed, for a console output that is not used here: 5 MB and 60 ms
+# of every start, which a gateway of 32 MB cannot spare. The command line imports it when it prints tables.
+_unloaded = "rich" not in sys.modules
+if _unloaded:
+    sys.modules["rich"] = None  # type: ignore[assignment]
+import structlog  # noqa: E402
+
+if _unloaded:
+    del sys.modules["rich"]
 
 BURST, SPAN_S = 20, 10.0  # lines of one name in a span; more are counted and left out
 
--- /dev/null
+++ b/olivecourse/memory/commands.py
@@ -0,0 +1,250 @@
+"""`olivecourse memory`: what a folder remembers, for operators.
+
+Exit codes: 0 good; 1 nothing there or damaged; 2 the configuration or the call is wrong; 3 in use.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from dataclasses import asdict
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Any, NoReturn
+
+import click
+import lmdb
+from rich.console import Console
+from rich.table import Table
+
+from olivecourse.config import BadConfig, load_operator
+from olivecourse.memory import codec, container
+from olivecourse.memory.ageing import Elapsed, Kind, Policy, elapsed
+from olivecourse.memory.container import Unusable, derive_key
+from olivecourse.memory.disk import FolderDisk, Held, stamp_now
+from olivecourse.memory.folder import Folder, Found
+from olivecourse.memory.generations import parse
+from olivecourse.memory.keeper import PART, PROGRAM
+from olivecourse.memory.lessons import Lesson, Snapshot
+from olivecourse.memory.section import MemoryConfig, MemorySection
+from olivecourse.memory.tokenstore import PART as TOKENS
+from olivecourse.memory.tokenstore import About, BadStore, Store, probe
+
+EMPTY, WRONG, IN_USE = 1, 2, 3
+
+
+def stop(text: str, code: int) -> NoReturn:
+    click.echo(f"olivecourse: {text}", err=True)
+    sys.exit(code)
+
+
+def _config(operator: str | None, folder: str | None, key: str | None) -> tuple[MemoryConfig, str | None]:
+    """The section and the gateway's name; with a bare folder any gateway's files are read."""
+    if (operator is None) == (folder is None):
+        stop("give --operator FILE or --folder DIR", WRONG)
+    if operator is not None:
+        try:
+            config = load_operator(operator, {})
+        except BadConfig as error:
+            stop(str(error), WRONG)
+        if config.memory is None:
+            stop(f"{operator}: no memory section", WRONG)
+        return config.memory, config.name
+    made = MemoryConfig(Path(folder or ""), Path(key) if key else None, MemorySection(str(folder)))
+    try:
+        if key:
+            derive_key(Path(key).read_bytes())
+    except (OSError, ValueError) as error:
+        stop(f"{key}: {getattr(error, 'strerror', None) or error}", WRONG)
+    return made, None
+
+
+class Opened:
+    """A folder as the commands work on it."""
+
+    def __init__(self, config: MemoryConfig, gateway: str | None) -> None:
+        self.config, self.gateway = config, gateway
+        self.disk = FolderDisk(config.folder)
+        try:
+            self.disk.open(make=False)
+        except OSError as error:
+            stop(f"{config.folder}: {error.strerror}", EMPTY)
+        section = config.section
+        self.folder = Folder(self.disk, PART, section.keep, section.max_kb * 1024, config.key())
+
+    def load(self) -> Found:
+        return self.folder.load(self.gateway)
+
+    def lock(self) -> None:
+        try:
+            self.disk.lock(f"{PART}.lock")
+        except Held as held:
+            stop(str(held), IN_USE)
+        except OSError as error:
+            stop(f"{self.config.folder}: {error.strerror}", EMPTY)
+
+    def tokens(self) -> tuple[About | None, dict[bytes, float], str]:
+        """The spent tokens, read beside a gateway that may be running; and what is wrong with them."""
+        path, section = self.config.folder / TOKENS, self.config.section
+        if not (path / "data.mdb").exists():
+            return None, {}, ""
+        map_mb = section.tokens.map_mb if section.tokens is not None else 64
+        wrong = probe(path, map_mb)
+        if wrong is not None:
+            return None, {}, wrong
+        store = Store(path, map_mb, self.config.key())
+        try:
+            store.open(write=False)
+            about, known = store.read(self.gateway)
+            return about, known, ""
+        except (lmdb.Error, OSError, BadStore) as error:
+            return None, {}, str(error)
+        finally:
+            store.close()
+
+
+def _since(gone: Elapsed) -> str:
+    if not gone.known:
+        return "from the future"
+    return f"{gone.ns / 1e9:.1f} s old" + ("" if gone.sure else ", by a clock that can be set")
+
+
+def _ms(value: float | None) -> str:
+    return "" if value is None else f"{value / 1e6:.0f}"
+
+
+def tables(snapshot: Snapshot, gone: Elapsed, policy: Policy) -> list[Table]:
+    def weight(kind: Kind, more: int = 0) -> float:
+        return policy.weight(kind, gone.ns + more) if gone.known else 0.0
+
+    stores = Table("store", "life (address@start)", "pain", "counts now", "wait ms", "limit",
+                   "cold credit ms", title="Stores")
+    for s in sorted(snapshot.stores, key=lambda s: (-s.pain, s.cache)):
+        pain = f"{s.pain:.2f}{' fails' if s.failing else ''}"
+        stores.add_row(f"{s.cache:08x}", s.life, pain, f"{s.pain * weight(Kind.PAIN):.2f}", _ms(s.wait_ns),
+                       f"{s.limit:.1f}", _ms(s.credit_ns))
+    classes = Table("class", "sending ms", "may fill", "weight of times", "weight of fills", title="Classes")
+    for c in snapshot.classes:
+        classes.add_row(c.name, _ms(c.size_ns), f"{c.fill_part:.2f}", f"{weight(Kind.TIMES):.2f}",
+                        f"{weight(Kind.FILLS):.2f}")
+    hot = Table("ended", "hot objects", "distinct", "T", "weight", title="Counting intervals")
+    for i in snapshot.intervals:
+        hot.add_row(f"{i.age_ns / 1e9:.1f} s before", str(len(i.counts)), f"{i.distinct:.0f}", f"{i.t:.3g}",
+                    f"{weight(Kind.HOT, i.age_ns):.2f}")
+    purges = Table("purge of", "age s", "still binds s", title="Purges")
+    for p in snapshot.purges:
+        left = max(p.left_ns - gone.at_least_ns, 0) / 1e9
+        purges.add_row(str(p.key), f"{(p.age_ns + gone.ns) / 1e9:.1f}", f"{left:.1f}")
+    return [stores, classes, hot, purges]
+
+
+def _options(command: Any) -> Any:
+    for option in (click.option("--key", type=click.Path(), help="The key file, with --folder."),
+                   click.option("--folder", type=click.Path(), help="A memory folder, of any gateway."),
+                   click.option("--operator", type=click.Path(), help="An operator's file.")):
+        command = option(command)
+    return command
+
+
+@click.group()
+def memory() -> None:
+    """What a gateway remembers across restarts: show, verify, forget, export."""
+
+
+@memory.command()
+@_options
+def show(operator: str | None, folder: str | None, key: str | None) -> None:
+    """Print what would be taken up if the gateway started now."""
+    opened = Opened(*_config(operator, folder, key))
+    found = opened.load()
+    console = Console(width=None if sys.stdout.isatty() else 120)
+    for name, reason, why in found.passed:
+        console.print(f"passed by: {name}: {reason.value}: {why}", markup=False)
+    if found.snapshot is not None:
+        gone = elapsed(found.snapshot.stamp, stamp_now())
+        console.print(f"{found.name}: of {found.snapshot.gateway}, version {found.version}, {_since(gone)}",
+                      markup=False)
+        for table in tables(found.snapshot, gone, opened.config.section.policy()):
+            console.print(table)
+    about, known, wrong = opened.tokens()
+    if about is not None:
+        since = datetime.fromtimestamp(about.covered_since, UTC).isoformat(timespec="seconds")
+        console.print(f"spent order tokens: {len(known)}, none missing since {since}", markup=False)
+    elif wrong:
+        console.print(f"spent order tokens: {wrong}", markup=False)
+    if found.snapshot is None:
+        stop(f"{opened.config.folder}: nothing to take up", EMPTY)
+
+
+@memory.command()
+@_options
+def verify(operator: str | None, folder: str | None, key: str | None) -> None:
+    """Check every generation and the token store; exit 1 if any of them is not whole."""
+    opened = Opened(*_config(operator, folder, key))
+    bad = 0
+    generations = parse(PART, opened.disk.names())
+    for generation in generations:
+        try:
+            contents = container.unseal(
+                opened.disk.read(generation.name, opened.config.section.max_kb * 1024), opened.config.key())
+            snapshot = codec.read(contents, opened.gateway)
+            click.echo(f"{generation.name}: whole, version {contents.version}, {len(snapshot.stores)} stores")
+        except (Unusable, OSError) as error:
+            bad += 1
+            click.echo(f"{generation.name}: {error}")
+    about, known, wrong = opened.tokens()
+    if about is not None:
+        click.echo(f"{TOKENS}: whole, {len(known)} spent")
+    elif wrong:
+        bad += 1
+        click.echo(f"{TOKENS}: {wrong}")
+    if bad or not generations:
+        sys.exit(EMPTY)
+
+
+@memory.command()
+@click.argument("store", required=False)
+@_options
+def forget(store: str | None, operator: str | None, folder: str | None, key: str | None) -> None:
+    """Forget what was learned, of STORE (its number as `show` prints it, or its address) or at all.
+
+    Purges and spent order tokens are never forgotten here: both would let through what must not pass.
+    """
+    opened = Opened(*_config(operator, folder, key))
+    opened.lock()
+    found = opened.load()
+    snapshot = found.snapshot
+    if snapshot is None:
+        stop(f"{opened.config.folder}: nothing to forget", EMPTY)
+    if store is None:
+        dropped = len(snapshot.stores)
+        snapshot.stores, snapshot.classes, snapshot.intervals, snapshot.density = [], [], [], 0.0
+    else:
+        kept = [s for s in snapshot.stores if f"{s.cache:08x}" != store and s.life.partition("@")[0] != store]
+        dropped = len(snapshot.stores) - len(kept)
+        if not dropped:
+            stop(f"{store}: no such store is remembered", EMPTY)
+        snapshot.stores = kept
+    rows: list[Lesson] = [*snapshot.stores, *snapshot.classes, *snapshot.intervals, *snapshot.purges]
+    header = codec.write_header(snapshot.gateway, snapshot.stamp, PROGRAM)
+    older = [g for g in parse(PART, opened.disk.names()) if g.readable]
+    name = opened.folder.save(header, [codec.write_part((), snapshot.density), codec.write_part(rows)])
+    for generation in older:  # else a damage to the new one would bring it back
+        if generation.name in opened.disk.names():
+            opened.disk.unlink(generation.name)
+    click.echo(f"{name}: {dropped} stores forgotten")
+
+
+@memory.command()
+@_options
+@click.option("--json", "as_json", is_flag=True, required=True, help="The only form so far.")
+def export(operator: str | None, folder: str | None, key: str | None, as_json: bool) -> None:
+    """Print what is remembered as JSON; ages and times in nanoseconds."""
+    opened = Opened(*_config(operator, folder, key))
+    found = opened.load()
+    if found.snapshot is None:
+        stop(f"{opened.config.folder}: nothing to export", EMPTY)
+    about, known, _ = opened.tokens()
+    click.echo(json.dumps({"file": found.name, "version": found.version, **asdict(found.snapshot),
+                           "tokens": None if about is None else
+                           {"spent": len(known), "covered_since": about.covered_since}}, default=str))
--- /dev/null
+++ b/olivecourse/memory/section.py
@@ -0,0 +1,96 @@
+"""The `memory:` section of an operator's file."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+
+from olivecourse.memory.ageing import DEFAULTS, Decay, Kind, Policy, S
+from olivecourse.memory.container import derive_key
+from olivecourse.sections import BadSection, read_section
+
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=30 * 86_400)]
+
+
+class HalfLives(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Seconds after which a lesson counts for half."""
+
+    pain: Seconds = DEFAULTS[Kind.PAIN].half_life_ns / S
+    wait: Seconds = DEFAULTS[Kind.WAIT].half_life_ns / S
+    limit: Seconds = DEFAULTS[Kind.LIMIT].half_life_ns / S
+    times: Seconds = DEFAULTS[Kind.TIMES].half_life_ns / S
+    fills: Seconds = DEFAULTS[Kind.FILLS].half_life_ns / S
+    hot: Seconds = DEFAULTS[Kind.HOT].half_life_ns / S
+
+
+class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Seconds after which a lesson is dropped."""
+
+    pain: Seconds = DEFAULTS[Kind.PAIN].drop_after_ns / S
+    wait: Seconds = DEFAULTS[Kind.WAIT].drop_after_ns / S
+    limit: Seconds = DEFAULTS[Kind.LIMIT].drop_after_ns / S
+    times: Seconds = DEFAULTS[Kind.TIMES].drop_after_ns / S
+    fills: Seconds = DEFAULTS[Kind.FILLS].drop_after_ns / S
+    hot: Seconds = DEFAULTS[Kind.HOT].drop_after_ns / S
+
+
+class TokensSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Spent order tokens on disk."""
+
+    most_wait_ms: Annotated[int, msgspec.Meta(ge=10, le=2500)] = 1000  # an order's wait for its token's sync
+    map_mb: Annotated[int, msgspec.Meta(ge=16, le=1024)] = 64  # the store's largest size
+
+
+class MemorySection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    folder: Annotated[str, msgspec.Meta(min_length=1)]
+    interval_s: Annotated[float, msgspec.Meta(ge=0.1, le=3600)] = 2.0
+    keep: Annotated[int, msgspec.Meta(ge=1, le=100)] = 3
+    max_kb: Annotated[int, msgspec.Meta(ge=64, le=65_536)] = 1024
+    key_file: str | None = None
+    half_life_s: HalfLives = HalfLives()
+    drop_after_s: Limits = Limits()
+    trust_floor: Annotated[float, msgspec.Meta(ge=0.02, le=1)] = 0.05
+    tokens: TokensSection | None = TokensSection()
+
+    def __post_init__(self) -> None:
+        for kind in Kind:
+            if getattr(self.drop_after_s, kind.value) < getattr(self.half_life_s, kind.value):
+                raise ValueError(f"drop_after_s.{kind.value} is below its half-life")
+
+    def policy(self) -> Policy:
+        return Policy({kind: Decay(int(getattr(self.half_life_s, kind.value) * S),
+                                   int(getattr(self.drop_after_s, kind.value) * S)) for kind in Kind},
+                      self.trust_floor)
+
+
+@dataclass(frozen=True)
+class MemoryConfig:
+    """The section, with its paths resolved."""
+
+    folder: Path
+    key_file: Path | None
+    section: MemorySection
+
+    def key(self) -> bytes | None:
+        """The MAC's key, or None where none is wanted; raises BadSection."""
+        if self.key_file is None:
+            return None
+        try:
+            return derive_key(self.key_file.read_bytes())
+        except (OSError, ValueError) as error:
+            raise BadSection(f"{self.key_file}: {getattr(error, 'strerror', None) or error}") from None
+
+
+def read_memory(path: str) -> MemoryConfig | None:
+    """The section of the operator's file at `path`, or None without one; raises BadSection."""
+    section = read_section(path, "memory", MemorySection)
+    if section is None:
+        return None
+    here = Path(path).parent
+    key_file = here / section.key_file if section.key_file else None
+    config = MemoryConfig(here / section.folder, key_file, section)
+    config.key()
+    return config
--- a/olivecourse/net/seam.py
+++ b/olivecourse/net/seam.py
@@ -170,6 +170,7 @@
         actions: list[w.Action] = []
         if self.planner is None:
             self.planner = Planner(self.server.settings, now, self.log)
+            self.server.made(self.planner)
             actions += self.planner.start()
         actions += self.planner.decide(batch, now)
         if actions:
@@ -177,14 +178,19 @@
 
     def closed(self, why: str) -> None:
         self.server.streams.discard(self)
+        if self.planner is not None:
+            self.server.gone(self.planner)
         self.log("forwarder_left", why=why)
 
 
 class PlannerServer:
     """A planner as a process of its own."""
 
-    def __init__(self, loop: Loop, path: str, settings: w.Settings, log: Callable[..., None]) -> None:
+    def __init__(self, loop: Loop, path: str, settings: w.Settings, log: Callable[..., None],
+                 made: Callable[[Planner], None] = lambda unused: None,
+                 gone: Callable[[Planner], None] = lambda unused: None) -> None:
         self.loop, self.path, self.settings, self.log = loop, path, settings, log
+        self.made, self.gone = made, gone
         self.streams: set[_FromForwarder] = set()
         self._sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         if os.path.exists(path) and stat.S_ISSOCK(os.stat(path).st_mode):
--- a/olivecourse/notices.py
+++ b/olivecourse/notices.py
@@ -95,7 +95,8 @@
         return w.Member(cache, float(m.get("size") or 1), start,
                         _place(self._zones, m.get("locality")), state,
                         None if m.get("cell") is None else int(m["cell"]),
-                        _place(self._kinds, m.get("flavor")))
+                        _place(self._kinds, m.get("flavor")),
+                        "{}:{}@{}".format(*self.addresses.get(cache, ("", 0)), up))
 
     def _flush(self, flush: Any) -> w.Purged:
         age = max(self._now() - self._from_unix_ms(int(flush["ms"])), 0)
--- a/olivecourse/service.py
+++ b/olivecourse/service.py
@@ -3,18 +3,37 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from olivecourse.config import Config
+from olivecourse.core.planner import Planner
 from olivecourse.net.loop import Loop
 from olivecourse.net.seam import PlannerServer
 
+if TYPE_CHECKING:
+    from olivecourse.memory.keeper import Keeper
+
 
 class PlannerService:
     def __init__(self, config: Config, log: Callable[..., None]) -> None:
         if config.planner is None:
             raise ValueError("no planner socket")
         self.loop, self.log = Loop(), log
-        self._server = PlannerServer(self.loop, config.planner, config.settings, log)
+        self._keeper: Keeper | None = None
+        if config.memory is not None:
+            from olivecourse.memory.keeper import Keeper
+
+            self._keeper = Keeper(self.loop, config.memory, config.name, log)
+            self._keeper.start()
+        self._server = PlannerServer(self.loop, config.planner, config.settings, log, self._made, self._gone)
+
+    def _made(self, planner: Planner) -> None:
+        if self._keeper is not None:
+            self._keeper.adopt(planner.router)
+
+    def _gone(self, planner: Planner) -> None:
+        if self._keeper is not None:
+            self._keeper.leave(planner.router)
 
     def stop(self) -> None:
         self.loop.running = False
@@ -26,6 +45,8 @@
     def run(self) -> None:
         self.log("ready", planner=self._server.path)
         self.loop.run(lambda: None)
+        if self._keeper is not None:  # while the Routers of the forwarders are still there
+            self._keeper.stop()
         self._server.close()
         self.loop.close()
         self.log("stopped")
--- a/olivecourse/state.py
+++ b/olivecourse/state.py
@@ -21,6 +21,7 @@
     failing: bool = False
     credit: float = 0.0  # sending time that a cold node may still be asked for
     credit_at: int = 0
+    taught: float = 0.0  # least weight of the next answer, where a memory and no answer speaks of the node
     out: dict[tuple[str, int], int] = field(default_factory=dict)
 
 
--- a/olivecourse/wirehost.py
+++ b/olivecourse/wirehost.py
@@ -97,7 +97,7 @@
         """The reply lines for one line of a batch."""
         head, *parts = text.split(" ")
         if self.due and head == "CACHE":
-            self.filling.append(_typed(w.Member, _read(parts, CACHE)))
+            self.filling.append(_typed(w.Member, [*_read(parts, CACHE), ""]))  # no address is told here
             self.due -= 1
         elif self.due:
             raise Malformed(f"members: {self.due} more CACHE lines expected")
--- /dev/null
+++ b/tests/test_spent.py
@@ -0,0 +1,282 @@
+"""Spent order tokens that outlive their gateway: group commit as a model with crashes, the store's file in
+every bad state, and real gateways that are killed between spending and sending."""
+
+import os
+import time
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from test_memory import Kept, fixed
+from test_signed import ORDER, SignedStage
+
+from olivecourse.config import load_operator
+from olivecourse.fronts.tokens import Rejected
+from olivecourse.memory.grouping import Spending, State, Verdict
+from olivecourse.memory.section import MemoryConfig, MemorySection, TokensSection
+from olivecourse.memory.tokenstore import DurableSpent, Store
+
+MS = 1_000_000
+marks = st.sampled_from([b"a", b"b", b"c", b"d"])
+steps = st.lists(st.one_of(
+    st.tuples(st.just("spend"), marks), st.tuples(st.just("refused"), marks),
+    st.tuples(st.just("begin")), st.tuples(st.just("good")), st.tuples(st.just("bad"), st.booleans()),
+    st.tuples(st.just("wait"), st.integers(1, 400)), st.tuples(st.just("crash"), st.booleans())), max_size=40)
+
+
+@settings(fixed, max_examples=600)
+@given(steps=steps)
+def test_no_token_opens_a_second_order_whatever_fails_and_whenever_it_is_killed(steps):
+    """The model's disk is a dict; `opened` holds what went to a store and was not refused by it."""
+    disk, opened, group, now = {}, set(), None, 0
+    spending = Spending(3, 300 * MS, 0.0, {}, 0.0)
+
+    def apply():
+        for mark in group.deletes:
+            disk.pop(mark, None)
+        disk.update(group.puts)
+
+    for step in steps:
+        now += MS
+        if step[0] == "spend":
+            verdict = spending.spend(step[1], 900.0, now, now / 1e9)
+            assert verdict is not Verdict.TAKEN or step[1] not in opened
+        elif step[0] == "refused" and spending.durable(step[1]):
+            opened.discard(step[1])
+            spending.release(step[1])
+        elif step[0] == "begin" and group is None:
+            group = spending.next_group(now, now / 1e9)
+        elif step[0] in ("good", "bad") and group is not None:
+            if step[0] == "good" or step[1]:  # a fault tells nothing of whether it reached the disk
+                apply()
+            good, bad = spending.ended(step[0] == "bad", now)
+            assert not set(good) & opened and all(m in disk for m in good)
+            assert step[0] == "good" or not good
+            opened |= set(good)
+            group = None
+        elif step[0] == "wait":
+            now += step[1] * MS
+            spending.overdue(now)
+        elif step[0] == "crash":
+            if group is not None and step[1]:
+                apply()
+            group, spending = None, Spending(3, 300 * MS, 0.0, dict(disk), 0.0)
+        assert all(spending.durable(m) for m in opened)  # spent for good, also after the crash
+    assert len(spending.entries) <= 3 + len(disk)
+
+
+def test_a_clock_that_is_set_back_brings_no_token_to_life():
+    spending = Spending(8, MS, 3.0, {}, 0.0)
+    assert spending.spend(b"a", 100.0, 0, 50.0) is Verdict.TAKEN
+    spending.next_group(0, 50.0)
+    spending.ended(False, 0)
+    assert spending.spend(b"b", 500.0, 0, 110.0) is Verdict.TAKEN
+    group = spending.next_group(0, 110.0)
+    assert group.deletes == [b"a"] and group.pruned_exp == 100.0  # expired: its entry leaves
+    spending.ended(False, 0)
+    assert spending.spend(b"a", 100.0, 0, 60.0) is Verdict.USED
+    assert spending.spend(b"c", 100.5, 0, 60.0) is Verdict.TAKEN
+
+
+class Store1(Kept):
+    """The store on a loop of its own."""
+
+    def __init__(self, path, name="n0", **tokens):
+        self.loop, self.logged = Kept.make_loop(), []
+        config = MemoryConfig(path, None, MemorySection(str(path), tokens=TokensSection(**tokens)))
+        self.keeper = self.spent = DurableSpent(self.loop, config, name, 3.0,
+                                                lambda event, **v: self.logged.append((event, v)))
+
+    def spend(self, name):
+        self.spent.spend(name, time.time() + 600, time.time())
+        answers = []
+        if not self.spent.when_durable(name, answers.append):
+            self.until(lambda: answers)
+            return answers[0]
+        return True
+
+
+def test_what_was_spent_is_spent_after_a_restart_and_what_was_released_is_not(tmp_path):
+    first = Store1(tmp_path)
+    assert first.spend("a") and first.spend("b")
+    first.spent.release("b")
+    assert first.spend("c")
+    since = first.spent.covered_since
+    first.close()
+    second = Store1(tmp_path)
+    assert second.spent.covered_since == since
+    for used in ("a", "c"):
+        with pytest.raises(Rejected, match="used already"):
+            second.spent.spend(used, time.time() + 600, time.time())
+    assert second.spend("b")
+    second.close()
+
+
+def test_65000_spent_tokens_are_read_in_seconds_and_one_more_than_fits_is_turned_away(tmp_path):
+    first = Store1(tmp_path)
+    entries = {n.to_bytes(20, "big"): time.time() + 600 for n in range(65_000)}
+    first.spent._store.commit(type("G", (), {"puts": entries, "deletes": [], "pruned_exp": 0.0})())
+    first.close()
+    began = time.monotonic()
+    second = Store1(tmp_path)
+    assert time.monotonic() - began < 10 and len(second.spent.spending.entries) == 65_000
+    assert second.spend("x")
+    for n in range(536 - 1):
+        second.spent.spend(f"y{n}", time.time() + 600, time.time())
+    with pytest.raises(Rejected, match="too many orders"):
+        second.spent.spend("z", time.time() + 600, time.time())
+    second.close()
+
+
+def damage(path, how):
+    file = path / "tokens" / "data.mdb"
+    data = bytearray(file.read_bytes())
+    if how == "cut":
+        data = data[:len(data) // 2 + 100]
+    elif how == "empty":
+        data = data[:10]
+    elif how == "noise":
+        data = os.urandom(1) * len(data)
+    else:
+        at = data.rindex(MARKER) if how == "flip" else 0
+        data[at + 3] ^= 0x10
+    file.write_bytes(data)
+
+
+MARKER = b'"covered_since"'
+
+
+@pytest.mark.parametrize("how", ["cut", "empty", "noise", "flip"])
+def test_a_damaged_store_is_set_aside_and_what_it_covered_is_void(tmp_path, how):
+    first = Store1(tmp_path)
+    for n in range(200):
+        first.spent.spend(f"t{n}", time.time() + 600, time.time())
+    assert first.spend("last")
+    first.close()
+    damage(tmp_path, how)
+    before = time.time()
+    second = Store1(tmp_path)
+    told = dict(second.logged)["tokens_set_aside"]
+    assert told["reason"] == "damaged" and (tmp_path / told["folder"]).is_dir()
+    assert second.spent.covered_since >= before  # so that every token issued until now is turned away
+    assert second.spend("t1")
+    second.close()
+
+
+def test_another_gateways_store_is_set_aside(tmp_path):
+    first = Store1(tmp_path)
+    assert first.spend("a")
+    first.close()
+    second = Store1(tmp_path, name="n1")
+    assert dict(second.logged)["tokens_set_aside"]["reason"] == "other"
+    second.close()
+
+
+def test_a_disk_that_fails_turns_orders_away_and_one_that_is_slow_does_so_in_time(tmp_path, monkeypatch):
+    store = Store1(tmp_path, most_wait_ms=300)
+    assert store.spend("a")
+    commit = Store.commit
+
+    def full(self, group):
+        raise OSError(28, "No space left on device")
+
+    monkeypatch.setattr(Store, "commit", full)
+    assert store.spend("b") is False
+    with pytest.raises(Rejected, match="cannot be recorded"):
+        store.spent.spend("c", time.time() + 600, time.time())
+    monkeypatch.setattr(Store, "commit", commit)
+    time.sleep(0.15)
+    assert store.spend("b")  # nothing of it ran, so it may come again
+    assert dict(store.logged).keys() >= {"tokens_write_failed", "tokens_writes_again"}
+
+    def slow(self, group):
+        time.sleep(1.2)
+        commit(self, group)
+
+    monkeypatch.setattr(Store, "commit", slow)
+    began = time.monotonic()
+    assert store.spend("d") is False and time.monotonic() - began < 0.8
+    with pytest.raises(Rejected, match="cannot be recorded"):  # while the sync goes on: at the door
+        store.spent.spend("e", time.time() + 600, time.time())
+    monkeypatch.setattr(Store, "commit", commit)
+    store.until(lambda: store.spent.spending._group is None)
+    store.until(lambda: not any(e.state is State.ABANDONED for e in store.spent.spending.entries.values()))
+    assert store.spend("d") and store.spend("e")
+    store.close()
+
+
+def test_a_folder_taken_away_turns_orders_away_and_all_is_written_to_the_one_that_comes(tmp_path):
+    folder = tmp_path / "m"
+    store = Store1(folder)
+    assert store.spend("a")
+    folder.rename(tmp_path / "gone")
+    assert store.spend("b") is False
+    folder.mkdir()
+    time.sleep(0.15)
+    assert store.spend("c")
+    store.close()
+    again = Store1(folder)
+    with pytest.raises(Rejected, match="used already"):
+        again.spent.spend("a", time.time() + 600, time.time())
+    again.close()
+
+
+# Through the front ----------------------------------------------------------------------------------
+
+
+class MemoryStage(SignedStage):
+    def __init__(self, folder):
+        super().__init__(folder)
+        self.tokens._clock = lambda: time.time() + 4  # past the leeway after the store's first start
+
+    def config(self, raw):
+        super().config(raw)
+        path = self.folder / "operator.yaml"
+        path.write_text(path.read_text() + "memory: {folder: m, interval_s: 0.1}\n")
+        return load_operator(str(path), {})
+
+    def close(self):
+        for kept in (self.gateway.keeper, self.gateway.spent):
+            kept.stop()
+        super().close()
+
+
+def test_a_token_issued_before_the_restart_is_good_exactly_if_it_was_not_spent(tmp_path):
+    stage = MemoryStage(tmp_path)
+    now = time.time() + 4
+    used, unused = (stage.order(jti=f"token-number-{n}", now=now) for n in range(2))
+    client = stage.ask(ORDER, "POST", b"cards", Authorization=f"Bearer {used}")
+    line = stage.until(stage.cache.line)
+    assert line.startswith("fetch")
+    assert stage.gateway.spent.spending.entries  # durable before any store heard of it
+    stage.close()
+    stage = MemoryStage(tmp_path)
+    client = stage.ask(ORDER, "POST", b"cards", Authorization=f"Bearer {used}")
+    assert stage.status(client) == 401 and b"used already" in client.data
+    client = stage.ask(ORDER, "POST", b"cards", Authorization=f"Bearer {unused}")
+    assert stage.until(stage.cache.line).startswith("fetch")
+    stage.close()
+
+
+def test_an_order_waits_for_its_sync_and_a_client_that_leaves_frees_its_token(tmp_path, monkeypatch):
+    stage, commit, hold = MemoryStage(tmp_path), Store.commit, [True]
+
+    def held(self, group):
+        while hold[0]:
+            time.sleep(0.005)
+        commit(self, group)
+
+    monkeypatch.setattr(Store, "commit", held)
+    token = stage.order()
+    client = stage.ask(ORDER, "POST", b"cards", Authorization=f"Bearer {token}")
+    stage.until(lambda: stage.gateway.front.recording)
+    client.sock.close()
+    stage.until(lambda: not stage.gateway.front.clients)
+    assert stage.cache.poll() == b"" and not stage.gateway.ledger.open
+    hold[0] = False
+    stage.until(lambda: not stage.gateway.front.recording)
+    assert stage.cache.poll() == b""
+    client = stage.ask(ORDER, "POST", b"cards", Authorization=f"Bearer {token}")
+    assert stage.until(stage.cache.line).startswith("fetch")
+    stage.close()
+
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -117,7 +117,7 @@
     client = stage.client()
     client.call(d="120")
     stage.until(stage.cache.line)
-    stage.gateway.local._router.held.clear()
+    stage.gateway.local.router.held.clear()
     assert stage.until(client.answers)[0][1] == "refused"
     assert "answered_by_guard" in stage.names()
 
@@ -435,7 +435,7 @@
             stage.tell(rev, pool={"revision": rev, "complete": False, "members": [news]})
             stage.until(lambda rev=rev: f"watch={rev}&".encode() in stage.board.poll())
     assert [len(t) for t in tables[:4]] == before and not directory.started
-    assert len(stage.gateway.local._router.nodes) == 3
+    assert len(stage.gateway.local.router.nodes) == 3
 
 
 @with_board
