--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -1,6 +1,8 @@
 """Memory across restarts: files that power cuts, other programs and chance have been at; lessons that only
 ever restrain; real programs that are killed."""
 
+import errno
+import json
 import os
 import signal
 import subprocess
@@ -474,3 +476,49 @@
         done = subprocess.run(words, cwd=ROOT, capture_output=True, text=True, env={**os.environ})
         assert done.returncode == 0, done.stdout + done.stderr
 
+
+
+def test_the_command_line_shows_verifies_forgets_and_exports(world):  # noqa: F811
+    folder, cache, start = world
+    path = operator(folder, "  folder: m\n  interval_s: 0.1\n")
+    for words, code in ((("show",), 1), (("verify",), 1), (("forget",), 1)):
+        assert run("memory", *words, "--operator", path).returncode == code  # nothing there yet
+    running = start("serve", "--operator", path)
+    running.event("ready")
+    until(lambda: list((folder / "m").glob("router.*.mem")))
+    assert run("memory", "forget", "--operator", path).returncode == 3
+    running.end(signal.SIGKILL)
+    shown = run("memory", "show", "--operator", path)
+    assert shown.returncode == 0 and "00000001" in shown.stdout and "of n0" in shown.stdout
+    assert run("memory", "verify", "--folder", str(folder / "m")).returncode == 0
+    told = json.loads(run("memory", "export", "--json", "--operator", path).stdout)
+    assert {s["cache"] for s in told["stores"]} == {1, 8} and told["gateway"] == "n0"
+    assert "1 stores forgotten" in run("memory", "forget", "00000001", "--operator", path).stdout
+    assert run("memory", "forget", "00000001", "--operator", path).returncode == 1
+    (only,) = (folder / "m").glob("router.*.mem")
+    assert [s["cache"] for s in json.loads(run("memory", "export", "--json", "--operator", path).stdout)[
+        "stores"]] == [8]
+    only.write_bytes(only.read_bytes()[:-1])
+    bad = run("memory", "verify", "--operator", path)
+    assert bad.returncode == 1 and "lengths do not fit" in bad.stdout
+    assert run("memory", "show").returncode == 2
+
+
+def test_a_folder_that_became_read_only_is_read_and_still_held_alone(tmp_path, monkeypatch):
+    first = Kept(tmp_path)
+    first.until(lambda: first.keeper.schedule.written)
+    first.close()
+    real = os.open
+
+    def read_only(path, flags, *rest, **more):
+        if flags & (os.O_CREAT | os.O_WRONLY):
+            raise OSError(errno.EROFS, "Read-only file system")
+        return real(path, flags, *rest, **more)
+
+    monkeypatch.setattr("olivecourse.memory.disk.os.open", read_only)
+    second = Kept(tmp_path)
+    second.until(lambda: second.heard("memory_write_failed") and second.heard("memory_taken_up"))
+    assert second.heard("memory_write_failed")[0]["why"] == "Read-only file system"
+    with pytest.raises(Held):
+        Kept(tmp_path)
+    second.close()
--- a/tests/test_spent.py
+++ b/tests/test_spent.py
@@ -2,6 +2,7 @@
 every bad state, and real gateways that are killed between spending and sending."""
 
 import os
+import shutil
 import time
 
 import pytest
@@ -14,7 +15,7 @@
 from olivecourse.fronts.tokens import Rejected
 from olivecourse.memory.grouping import Spending, State, Verdict
 from olivecourse.memory.section import MemoryConfig, MemorySection, TokensSection
-from olivecourse.memory.tokenstore import DurableSpent, Store
+from olivecourse.memory.tokenstore import DurableSpent, Store, mark_of
 
 MS = 1_000_000
 marks = st.sampled_from([b"a", b"b", b"c", b"d"])
@@ -112,6 +113,35 @@
     second.close()
 
 
+def test_killed_between_the_spending_and_the_sending_the_token_is_spent(tmp_path, monkeypatch):
+    first, disk = Store1(tmp_path), Store.commit
+    monkeypatch.setattr(Store, "commit", lambda self, group: (disk(self, group), time.sleep(0.3)))
+    first.spent.spend("a", time.time() + 600, time.time())
+    first.until(lambda: first.spent.spending._group)
+    time.sleep(0.1)  # on disk, and nobody was told yet: from here on the process does nothing more
+    shutil.copytree(tmp_path / "tokens", tmp_path / "left")
+    second = Store(tmp_path / "left", 64, None)
+    second.open(write=False)
+    about, known = second.read("n0")
+    second.close()
+    assert about.count == 1
+    assert Spending(8, MS, 3.0, known, 0.0).spend(mark_of("a"), 2e9, 0, time.time()) is Verdict.USED
+    first.close()
+
+
+def test_a_store_that_cannot_be_opened_refuses_orders_and_nothing_else(tmp_path, monkeypatch):
+    def read_only(self, write=True):
+        raise OSError(30, "Read-only file system")
+
+    monkeypatch.setattr(Store, "open", read_only)
+    store = Store1(tmp_path)
+    assert "Read-only" in dict(store.logged)["tokens_unusable"]["why"]
+    with pytest.raises(Rejected, match="cannot be recorded") as told:
+        store.spent.spend("a", time.time() + 600, time.time())
+    assert told.value.status == 503
+    store.close()
+
+
 def test_65000_spent_tokens_are_read_in_seconds_and_one_more_than_fits_is_turned_away(tmp_path):
     first = Store1(tmp_path)
     entries = {n.to_bytes(20, "big"): time.time() + 600 for n in range(65_000)}
