--- a/tests/test_spent.py
+++ b/tests/test_spent.py
@@ -2,6 +2,7 @@
 every bad state, and real gateways that are killed between spending and sending."""
 
 import os
+import random
 import shutil
 import time
 
@@ -13,7 +14,7 @@
 
 from olivecourse.config import load_operator
 from olivecourse.fronts.tokens import Rejected
-from olivecourse.memory.grouping import Spending, State, Verdict
+from olivecourse.memory.grouping import Group, Spending, State, Verdict
 from olivecourse.memory.section import MemoryConfig, MemorySection, TokensSection
 from olivecourse.memory.tokenstore import DurableSpent, Store, mark_of
 
@@ -320,3 +321,44 @@
     assert found["turned_away_as_used"] > 100 and found["shown_again_good_and_run_once"] > 0
     for never in ("orders_run_twice", "opened_by_a_token_that_had_run", "damaged_files_met", "faults_logged"):
         assert found.get(never, 0) == 0, found
+
+
+def test_a_power_cut_in_a_commit_leaves_the_old_set_or_the_new_one(tmp_path):
+    """LMDB writes the pages of a transaction, syncs, and then its meta page. Until that is durable any part
+    of the others may have reached the disk, whole or torn: 300 such states, and the one with all of it."""
+    page, store = 4096, Store(tmp_path / "tokens", 64, None)
+    store.open()
+    store.begin("n0", 1.0)
+    first = {bytes([n]) * 20: 9e9 for n in range(120)}
+    store.commit(Group(first, [], 0.0))
+    store.close()
+    before = (tmp_path / "tokens" / "data.mdb").read_bytes()
+    store.open()
+    store.read("n0")
+    second = {bytes([n]) * 20: 9e9 for n in range(120, 200)}
+    store.commit(Group(second, [bytes([3]) * 20], 0.0))
+    store.close()
+    after = (tmp_path / "tokens" / "data.mdb").read_bytes()
+    changed = [n for n in range(len(after) // page) if after[n * page:][:page] != before[n * page:][:page]]
+    metas, pages = [n for n in changed if n < 2], [n for n in changed if n >= 2]
+    assert len(metas) == 1 and len(pages) >= 4
+    source, outcomes = random.Random(1), []
+    for state in range(301):
+        data = bytearray(before)
+        for n in pages if state == 300 else source.sample(pages, source.randrange(len(pages) + 1)):
+            data.extend(bytes(max((n + 1) * page - len(data), 0)))
+            data[n * page:(n + 1) * page] = after[n * page:(n + 1) * page]
+            if state < 300 and source.random() < 0.3:
+                data[n * page + page // 2:(n + 1) * page] = os.urandom(page // 2)
+        if state == 300:
+            data[metas[0] * page:(metas[0] + 1) * page] = after[metas[0] * page:(metas[0] + 1) * page]
+        folder = tmp_path / f"state-{state}"
+        folder.mkdir()
+        (folder / "data.mdb").write_bytes(data)
+        found = Store(folder, 64, None)
+        found.open(write=False)
+        outcomes.append(found.read("n0")[1].keys())
+        found.close()
+        shutil.rmtree(folder)
+    assert all(known == first.keys() for known in outcomes[:300])
+    assert outcomes[300] == first.keys() - {bytes([3]) * 20} | second.keys()
