Explain storms from the log: `olivecourse storms explain`

Need: staff on call see single lines of a storm, not when it ran, what it cost and what came before.

Change: `storm/explain.py` reads the structured log into storms, `olivecourse storms explain FILE` prints them.

--- a/olivecourse/cli.py
+++ b/olivecourse/cli.py
@@ -9,7 +9,7 @@
 import sys
 import time
 from dataclasses import replace
-from importlib import metadata
+from importlib import import_module, metadata
 
 import click
 
@@ -28,16 +28,17 @@
 
 
 class Lazy(click.Group):
-    """Finds `memory` only when it is called: its libraries are not for a gateway's start."""
+    """Finds operators' commands only when they are called: their libraries are not for a gateway's start."""
+
+    FOUND = {"memory": "olivecourse.memory.commands", "storms": "olivecourse.storm.commands"}
 
     def list_commands(self, ctx: click.Context) -> list[str]:
-        return sorted([*super().list_commands(ctx), "memory"])
+        return sorted([*super().list_commands(ctx), *self.FOUND])
 
     def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
-        if cmd_name == "memory":
-            from olivecourse.memory.commands import memory
-
-            return memory
+        if cmd_name in self.FOUND:
+            found: click.Command = getattr(import_module(self.FOUND[cmd_name]), cmd_name)
+            return found
         return super().get_command(ctx, cmd_name)
 
 
--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -2,6 +2,7 @@
 store's budget that never add up to more than it."""
 
 import heapq
+import json
 import random
 
 import pytest
@@ -9,12 +10,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from test_memory import fixed
+from test_program import run
 
 from benchmarks.notice import STORIES, played
 from olivecourse import interface as w
 from olivecourse.storm.admission import Aimd, Ask, Door, Gradient, Verdict
 from olivecourse.storm.budgets import Budgets, Share
 from olivecourse.storm.calendar import LEAST_NS, SLOT_NS, Calendar
+from olivecourse.storm.explain import read
 from olivecourse.storm.guard import Guard, Policy
 from olivecourse.storm.heed import MOST, Heed
 from olivecourse.storm.notice import Bin, Notice, ShareDetector
@@ -322,6 +325,25 @@
     assert finals(acts) == [w.Refuse(d.id, 123 * MS)] and not sends(acts)
 
 
+def test_storms_explain_tells_of_each_storm_what_was_limited_and_what_came_before(tmp_path):
+    office = Office(True, False)
+    office.play(50)
+    lines = [{"event": "ready", "gateway": "n1", "timestamp": "t0", "stores": 3},
+             {"event": "store_connection_lost", "gateway": "n1", "timestamp": "t1", "store": "s-1", "out": 9}]
+    lines += [{"event": "module", "gateway": "n1", "timestamp": f"t{n + 2}", "text": a.text}
+              for n, a in enumerate(office.logged)]
+    lines.append({"event": "module", "gateway": "n2", "timestamp": "t9", "text": office.logged[0].text})
+    log = tmp_path / "log"
+    log.write_text("\n".join(map(json.dumps, lines)) + "\nTraceback: no line of ours\n")
+    first, second = (found := read(log.open())).storms
+    assert found.unread == 1 and (first.begun, first.ended, second.ended) == ("t2", "t3", "")
+    assert first.turned["crowded"] == office.guard.turned["crowded"] > 100 and first.level >= 0.3
+    assert "store_connection_lost store=s-1 out=9" in first.before
+    done = run("storms", "explain", str(log))
+    assert done.returncode == 0 and "2 storms" in done.stdout and "still on" in done.stdout
+    assert run("storms", "explain", str(tmp_path / "none")).returncode == 2
+
+
 # Ramps ---------------------------------------------------------------------------------------------
 
 
