Start an office of stand-ins with a gateway by one command: `olivecourse demo`

Change: `olivecourse/emulator/` holds the stand-in stores (misses that fill and are kept, orders counted, failing and silent ones, a close on what cannot be read) and settings; `olivecourse demo` starts three boxes, a hub, the archive and a gateway on free ports, prints a signed link and an order for curl and narrates. The benchmarks use the same stand-ins.

Measured: a test follows the printed lines: the link is filled from the hub, then held by the box; the order runs, and shown again is turned away.

--- a/benchmarks/kills.py
+++ b/benchmarks/kills.py
@@ -22,7 +22,8 @@
 import jwt
 
 from benchmarks._program import Gateway
-from benchmarks._stores import Store, World, settings
+from olivecourse.emulator.settings import settings
+from olivecourse.emulator.stores import Store, World
 from olivecourse.fronts import tokens
 
 PUBLIC = "https://calendriers.example"
--- a/benchmarks/restart.py
+++ b/benchmarks/restart.py
@@ -18,8 +18,10 @@
 from pathlib import Path
 from typing import Any
 
+from benchmarks._load import Load
 from benchmarks._program import Gateway
-from benchmarks._stores import Load, Store, World, settings
+from olivecourse.emulator.settings import settings
+from olivecourse.emulator.stores import Store, World
 
 RATE = 100.0
 MEASURE_S = 5.0
--- a/olivecourse/cli.py
+++ b/olivecourse/cli.py
@@ -30,7 +30,8 @@
 class Lazy(click.Group):
     """Finds operators' commands only when they are called: their libraries are not for a gateway's start."""
 
-    FOUND = {"memory": "olivecourse.memory.commands", "storms": "olivecourse.storm.commands"}
+    FOUND = {"memory": "olivecourse.memory.commands", "storms": "olivecourse.storm.commands",
+             "demo": "olivecourse.demo"}
 
     def list_commands(self, ctx: click.Context) -> list[str]:
         return sorted([*super().list_commands(ctx), *self.FOUND])
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -6,6 +6,8 @@
 import subprocess
 import sys
 import time
+import urllib.error
+import urllib.request
 from pathlib import Path
 
 import pytest
@@ -202,3 +204,39 @@
 
     until(served)
     assert forwarder.end() == 0
+
+
+def test_the_demo_serves_its_link_from_a_box_and_its_order_once():
+    shown = subprocess.Popen([sys.executable, "-u", "-m", "olivecourse", "demo", "--seconds", "60"], cwd=ROOT,
+                             stdout=subprocess.PIPE, text=True)
+    lines = []
+
+    def until_said(what):
+        for line in shown.stdout:
+            lines.append(line)
+            if what in line:
+                return line
+        raise AssertionError(lines)
+
+    def ask(url, **more):
+        try:
+            with urllib.request.urlopen(urllib.request.Request(url, **more), timeout=20) as answer:
+                return answer.status, answer.read()
+        except urllib.error.HTTPError as error:
+            return error.code, error.read()
+
+    link = until_said("curl -i 'http").split("'")[1]
+    order = until_said("curl -i -X POST").split("'")
+    until_said("Ctrl-C")
+    for told in ("filled it from hub-1", "held it"):
+        status, body = ask(link)
+        assert status == 200 and body.startswith(b"calendar 7f3a9c21e0b4d655")
+        until_said(told)
+    token = order[3].partition(": ")[2]
+    assert ask(order[5], data=b"12", headers={"Authorization": token})[0] == 200
+    until_said("passed the order")
+    assert ask(order[5], data=b"12", headers={"Authorization": token}) == (401, b"used already\n")
+    shown.send_signal(signal.SIGINT)
+    until_said("ended")
+    assert shown.wait(20) == 0
+    shown.stdout.close()
