Hold a memory folder with its lock or not at all

Cause: read again, `Keeper._save` opened a folder that had come back and then asked for its lock; where another gateway held it the first write failed, but the folder stayed open, so that the second went into the other's folder. The token store opened such a folder again without asking at all.

Change: `FolderDisk.hold` opens and locks, or neither; both use it, at the start and when a folder comes back.

--- a/olivecourse/memory/disk.py
+++ b/olivecourse/memory/disk.py
@@ -88,6 +88,15 @@
             raise
         self._lock = handle
 
+    def hold(self, name: str, make: bool = True) -> None:
+        """Opens and locks, or neither: a folder that is open without its lock may be another gateway's."""
+        self.open(make)
+        try:
+            self.lock(name)
+        except OSError:
+            self.release()
+            raise
+
     def release(self) -> None:
         for handle in (self._lock, self._folder):
             if handle >= 0:
--- a/olivecourse/memory/keeper.py
+++ b/olivecourse/memory/keeper.py
@@ -64,11 +64,9 @@
 
     def _open(self) -> None:
         try:
-            self._disk.open()
-            self._disk.lock(f"{PART}.lock")
+            self._disk.hold(f"{PART}.lock")
             self._found = self._folder.load(self._name)
         except Held:
-            self._disk.release()
             raise
         except OSError as error:  # serving goes on without: a broken disk must not take the office down
             self._log("memory_unusable", folder=str(self._config.folder), why=error.strerror or str(error))
@@ -176,8 +174,7 @@
     def _save(self, header: bytes, pieces: list[bytes]) -> str:
         """On the thread."""
         if not self._disk.opened or not self._disk.still_there():
-            self._disk.open(make=False)
-            self._disk.lock(f"{PART}.lock")
+            self._disk.hold(f"{PART}.lock", make=False)
         return self._folder.save(header, pieces)
 
     def _saved(self, name: str | None, fault: Exception | None) -> None:
--- a/olivecourse/memory/tokenstore.py
+++ b/olivecourse/memory/tokenstore.py
@@ -215,15 +215,13 @@
         pruned = 0.0
         self._usable = False
         try:
-            self._disk.open()
-            self._disk.lock(f"{PART}.lock")
+            self._disk.hold(f"{PART}.lock")
             about, known = self._read()
             self._usable = True
             if about is not None:
                 self.covered_since, pruned = about.covered_since, about.pruned_exp
             log("tokens_read", spent=len(known), covered_since=round(self.covered_since))
         except Held:
-            self._disk.release()
             raise
         except (lmdb.Error, OSError) as error:
             log("tokens_unusable", folder=str(config.folder), why=str(error))
@@ -288,6 +286,8 @@
     def _commit(self, group: Group) -> None:
         """On the thread."""
         if group.everything:
+            if not self._disk.opened or not self._disk.still_there():
+                self._disk.hold(f"{PART}.lock", make=False)
             self._store.again()
         self._store.commit(group)
 
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -401,6 +401,20 @@
     nowhere.close()
 
 
+def test_a_folder_that_came_back_as_another_gateways_is_not_written(tmp_path):
+    folder = tmp_path / "m"
+    first = Kept(folder)
+    first.until(lambda: first.keeper.schedule.written)
+    folder.rename(tmp_path / "gone")
+    other = FolderDisk(folder)
+    other.hold("router.lock")
+    first.until(lambda: first.keeper.schedule.failures >= 3)  # not the second time either
+    assert [p.name for p in folder.iterdir()] == ["router.lock"]
+    other.release()
+    first.until(lambda: list(folder.glob("router.*.mem")))
+    first.close()
+
+
 # The operator's file -------------------------------------------------------------------------------
 
 
