Count overdue fills as late at once, and let fills come back by growing steps

Counted over all 40 gateways: 765 fills by way of the archive came late, and 1,006 requests were refused for want of a fill (MISS of a look), 80 to 160 a second, from 12 s to 17 s although every fill was timely again by then. Cause: Router._fill learns only from fills that ended, 2 to 3 s after they began, and climbs back by a fixed step a timely fill; a gateway of forty sees one fill a second and class, so it stayed back for ten seconds. Ruled out: connections (24 no conn in 2,454), full stores (0), processor (0.35 of 0.85 s at most). Change: the tick counts a fill as late when it is past its aim, once; steps grow with the run of timely fills.

--- a/olivecourse/choice.py
+++ b/olivecourse/choice.py
@@ -95,6 +95,7 @@
         self.t = self.ask_at = math.inf
         # Departure: part of a class's requests that may fill; the others take a hit or a refusal.
         self.fills = [MOST_FILLS] * len(settings.classes)
+        self.streak = [0] * len(settings.classes)  # timely fills since the last late one
         self.retune_at = now + INTERVAL_NS
         self.purges: dict[str | int | None, tuple[int, int]] = {}
         self.retries, self.held_back = RETRY_BURST, False
@@ -336,7 +337,8 @@
         if end.status is w.Status.SERVED:
             cls, aim, hurt = held.ask.cls, held.aim, min(1.0, lag / max(held.aim, 1))
             slow = max(aim, self.slow_hit[cls])
-            if note.filled or not note:  # hits need neither the link nor the source
+            # Hits need neither the link nor the source; what was overdue has been counted already.
+            if (note.filled or not note) and not held.overdue:
                 self._fill(held, lag <= slow)
             if busy and not note.filled:  # else it was not load that decided
                 self._limit(node, LATE_CUT if lag > aim else None, bool(note))
@@ -368,9 +370,11 @@
             self._hurt(node, 1.0, gain)
 
     def _fill(self, held: Held, timely: bool) -> None:
-        was = self.fills[held.ask.cls]
-        self.fills[held.ask.cls] = (min(was + FILL_STEP * self.speaks, MOST_FILLS) if timely else
-                                    max(was * FILL_CUT**self.speaks, LEAST_FILLS))
+        cls, was = held.ask.cls, self.fills[held.ask.cls]
+        # Steps grow while no fill is late: with few fills of its own a router would be years behind.
+        self.streak[cls] = self.streak[cls] + 1 if timely else 0
+        self.fills[cls] = (min(was + FILL_STEP * self.speaks * self.streak[cls], MOST_FILLS) if timely else
+                           max(was * FILL_CUT**self.speaks, LEAST_FILLS))
 
     def _limit(self, node: Node, cut: float | None, sure: bool = True) -> None:
         speaks = min(node.seats, SPEAKS_FOR) if sure else 1
@@ -426,6 +430,7 @@
             if source is not None and held.ask.size_kb and not held.overdue and self.now - sent > held.aim:
                 held.overdue = True  # a slow source is seen while attempts hang; untold sizes mislead here
                 self._hurt(source, 1.0, GAIN)
+                self._fill(held, False)
         # A cache that answers nothing at all while several wait is silent: call its attempts off.
         quiet = max([0.0, *map(lambda c, s: c.aim_ns + c.aim_stretch * s, self.s.classes, self.size_ns)])
         for node in self.caches:
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,55 @@
+"""The fleet grown large: some forty gateways, each of which meets most stores seldom."""
+
+from conftest import MS, S, fleet, make_class, sends
+
+from olivecourse import interface as w
+
+SLOW, QUICK = 3 * S, 100 * MS
+
+
+def crowd(drive, seats=7, **more):
+    """One of seven gateways of an office, in a tier of forty."""
+    return drive(fleet(), routers=40, zone_routers=(0, seats), **more)
+
+
+def fill(d, key, after, wait=50 * MS):
+    d.ask(key, size_kb=300.0)
+    source = d.router.attempts[d.id, 0][3]
+    if source is None:
+        d.end(w.Status.MISS)  # it was only to take a hit
+    else:
+        d.end(w.Status.SERVED, after=after, note=w.Note.FILLED_BY_ORIGIN, source_wait_ns=wait)
+
+
+def test_a_fill_that_is_overdue_counts_as_late_while_it_still_hangs(drive):
+    d = crowd(drive, classes=(make_class(deadline_ns=6 * S),))
+    for i in range(4):
+        d.ask(f"slow{i}", size_kb=300.0)
+    d.event(w.TimerFired(0), after=1 * S)  # every one is past its aim, and none has ended
+    early = d.router.fills[0]
+    assert early < 0.5
+    for request, attempt in list(d.router.attempts):
+        d.end(w.Status.SERVED, attempt, request=request, after=MS, note=w.Note.FILLED_BY_ORIGIN)
+    assert d.router.fills[0] == early  # and none is counted twice
+
+
+def test_fills_come_back_within_a_few_timely_ones_once_the_source_is_quick_again(drive):
+    d = crowd(drive)
+    for i in range(12):
+        fill(d, f"slow{i}", SLOW)
+    assert d.router.fills[0] < 0.2
+    for i in range(60):  # each seldom fills at first: five requests a second, twelve seconds
+        fill(d, f"quick{i}", QUICK)
+        if d.router.fills[0] >= 1.0:
+            break
+    assert i < 30, "a gateway that sees few fills must not refuse for long after the trouble is over"
+
+
+def test_a_third_of_the_fills_late_still_holds_fills_back(drive):
+    d = crowd(drive)
+    held = 0
+    for i in range(300):
+        fill(d, f"mixed{i}", SLOW if i % 3 == 0 else QUICK)
+        held += d.router.fills[0] < 1.0
+    assert held > 150
+    assert sends(d.ask("next", size_kb=300.0))
