Ask parents for what they hold while fills are held back, and let shares grow with time

Seen: on join+vast 2,733 refusals were looks that missed, while a parent's own copies came in 25 ms and the archive took 0.7 s; on zone+vast (seed 4) refusals went on for eight seconds after the last late fill, and each failed fill by a dead parent was counted as a crowded one. Cause: Router._send had one share for two things, the archive and what parents hold; Router._judge cut it for a source that was not reached at once; a second attempt had to win the same chance again; a share that few events touch came back by events alone. Ruled out: full links (fills from parents stay at 120 to 150 ms). Change: What may not fill goes to a parent that gives only what it holds, with a share of its own; a dead source cuts nothing; the chance is drawn once a request; without a late fill for 1 s shares grow by 4 % a tick.

--- a/olivecourse/choice.py
+++ b/olivecourse/choice.py
@@ -52,6 +52,7 @@
 MOST_ERRORS = 3  # plain errors, one after the other, that tell of a bad request rather than of bad caches
 QUICK_NS = 5 * MS  # a cache of the own zone refuses by itself within this; any source is further off
 FILL_CUT, FILL_STEP = 0.95, 0.01  # settles where a sixth of the fills are late
+QUIET_NS, QUIET_GAIN = 1_000 * MS, 1.04  # no fill late for so long, the share grows by so much a tick
 LEAST_FILLS, MOST_FILLS = 0.1, 1.5  # room above one: a few late fills on a calm day refuse nothing
 
 
@@ -95,7 +96,9 @@
         self.t = self.ask_at = math.inf
         # Departure: part of a class's requests that may fill; the others take a hit or a refusal.
         self.fills = [MOST_FILLS] * len(settings.classes)
-        self.streak = [0] * len(settings.classes)  # timely fills since the last late one
+        self.near = list(self.fills)  # the same for fills with what a parent holds: the archive has no part
+        self.late_at = [now] * len(self.fills)  # when a fill was last late
+        self.streak: dict[tuple[int, bool], int] = {}  # timely fills since the last late one
         self.retune_at = now + INTERVAL_NS
         self.purges: dict[str | int | None, tuple[int, int]] = {}
         self.retries, self.held_back = RETRY_BURST, False
@@ -136,6 +139,7 @@
         held = self.held[ask.request] = Held(ask, cls, self.now + budget, size, write, key)
         rich = RICH if cls.worth / size > self.density else 1.0
         held.rich = rich * REPEAT_ROOM if flags & w.Flag.REPEAT else rich
+        held.chance = self.random.random()  # once: a further attempt needs no second stroke of luck
         self.serial += 1
         self.timers[self.serial] = ask.request
         # Fires just before the deadline, so that the answer is ours and not an overdue one.
@@ -212,9 +216,12 @@
         if held.sent < self.s.max_attempts and held.deadline - self.now > self.s.tick_ns:
             if not (held.write and self.s.direct):
                 node = self._pick_cache(held)
-            may_fill = held.write or self.random.random() < self.fills[held.ask.cls] * held.rich
-            if node is not None and may_fill:
+            chance, cls = held.chance / held.rich, held.ask.cls
+            held.near = not held.write and chance >= self.fills[cls]
+            if node is not None and not (held.near and chance >= self.near[cls]):
                 source = self._pick_source(held)
+                if held.near and source not in self.parents:
+                    source = None  # the origin holds everything, and is what must be spared
             elif node is None and self.s.direct:  # departure: what has no cache passes by where it may
                 node = self._pick_source(held, straight=True)
                 node = node if node is not None and self._has_room(node, node.limit) else None
@@ -239,6 +246,7 @@
         age, fresh_fill = self._max_age(held)
         how = w.How(0) if held.write or fresh_fill or not self.s.joins else w.How.JOIN
         how |= w.How.RENEW if held.cls.fresh_ns and not held.write else 0
+        how |= w.How.HELD_ONLY if held.near and source is not None else 0
         origin = (source or node).member.cache
         self.acts.append(w.ReadThrough(key[0], node.member.cache, left, origin, 0 if held.write else 1,
                                        age, how))
@@ -309,8 +317,8 @@
             return
         if end.closed:
             del self.held[end.request]
-        elif end.status is w.Status.MISS and source is None:
-            self._give_up(held)  # it was only to take a hit
+        elif end.status is w.Status.MISS and source is None or self._lacks(end, held):
+            self._give_up(held)  # it was only to take a hit, or what a parent holds
         elif len(held.errors) >= MOST_ERRORS:
             self._give_up(held)
         elif not held.out:
@@ -328,7 +336,10 @@
     def _judge(self, end: w.AttemptEnded, held: Held, node: Node, source: Node | None) -> None:
         """Moves the pain of the cache and of its source by how the attempt ended."""
         note, lag, busy = end.note, end.latency_ns or 0, len(node.out) + 1 >= node.limit / 2
-        if self._of_source(end, held, source):  # one whose answer was lost tells nothing of fills
+        if self._lacks(end, held):
+            return
+        # One whose answer was lost tells nothing of fills, and a dead source nothing of crowded ones.
+        if self._of_source(end, held, source) and (note is not w.Note.SOURCE_UNREACHED or lag > held.aim):
             self._fill(held, False)
         if end.status in (w.Status.CANCELLED, w.Status.NOT_SENT, w.Status.MISS):
             return
@@ -339,7 +350,7 @@
             slow = max(aim, self.slow_hit[cls])
             # Hits need neither the link nor the source; what was overdue has been counted already.
             if (note.filled or not note) and not held.overdue:
-                self._fill(held, lag <= slow)
+                self._fill(held, lag <= slow, note is w.Note.FILLED and self.s.notes == "all")
             if busy and not note.filled:  # else it was not load that decided
                 self._limit(node, LATE_CUT if lag > aim else None, bool(note))
             if note == w.Note.HIT and not held.ask.size_kb:
@@ -369,12 +380,19 @@
         for node, gain in [hurt for hurts in errors for hurt in hurts]:
             self._hurt(node, 1.0, gain)
 
-    def _fill(self, held: Held, timely: bool) -> None:
-        cls, was = held.ask.cls, self.fills[held.ask.cls]
-        # Steps grow while no fill is late: with few fills of its own a router would be years behind.
-        self.streak[cls] = self.streak[cls] + 1 if timely else 0
-        self.fills[cls] = (min(was + FILL_STEP * self.speaks * self.streak[cls], MOST_FILLS) if timely else
-                           max(was * FILL_CUT**self.speaks, LEAST_FILLS))
+    def _lacks(self, end: w.AttemptEnded, held: Held) -> bool:
+        """It was to be filled with what a parent holds, and that holds nothing."""
+        return held.near and (end.status is w.Status.MISS or end.note is w.Note.SOURCE_LACKS)
+
+    def _fill(self, held: Held, timely: bool, near: bool = False) -> None:
+        cls, near = held.ask.cls, near or held.near
+        shares = self.near if near else self.fills
+        # Steps grow while no fill is late: with few fills of its own a router would be long behind.
+        streak = self.streak[cls, near] = self.streak.get((cls, near), 0) + 1 if timely else 0
+        shares[cls] = (min(shares[cls] + FILL_STEP * self.speaks * streak, MOST_FILLS) if timely else
+                       max(shares[cls] * FILL_CUT**self.speaks, LEAST_FILLS))
+        if not timely:
+            self.late_at[cls] = self.now
 
     def _limit(self, node: Node, cut: float | None, sure: bool = True) -> None:
         speaks = min(node.seats, SPEAKS_FOR) if sure else 1
@@ -417,6 +435,10 @@
                 self._give_up(held)
             return
         self.acts.append(w.SetTimer(TICK_NS, 0))
+        for cls, at in enumerate(self.late_at):
+            if self.now - at > QUIET_NS:
+                self.fills[cls] = min(self.fills[cls] * QUIET_GAIN, MOST_FILLS)
+                self.near[cls] = min(self.near[cls] * QUIET_GAIN, MOST_FILLS)
         if (min(self.fills, default=1.0) < (1.0 if self.held_back else UP)) != self.held_back:
             self.held_back = not self.held_back
             self.acts.append(w.Log(f"fills {'held back' if self.held_back else 'free again'}"))
--- a/olivecourse/state.py
+++ b/olivecourse/state.py
@@ -37,6 +37,8 @@
     key: str
     rich: float = 1.0
     overdue: bool = False
+    chance: float = 0.0  # against the share of requests that may fill
+    near: bool = False  # its last attempt may be filled with what a parent holds, and no further
     sent: int = 0
     out: dict[int, tuple[Node, Node | None]] = field(default_factory=dict)
     ran: list[tuple[int, Node]] = field(default_factory=list)  # attempts that might have run, by send time
