Send orders where pain is least, and let a late fill speak for more of a large fleet

Cause: Router._pick_cache sent orders to failing stores on trial, though an order has one attempt; Router._fill let an event speak for six routers at most, also for the archive that all forty share.

--- a/olivecourse/choice.py
+++ b/olivecourse/choice.py
@@ -40,6 +40,7 @@
 LEARN = 0.02  # weight of one request in the learned mean sending times and worths
 RETRY_SHARE, RETRY_BURST = 0.3, 20.0  # further attempts a request earns; how many may be saved up
 FASTER = 0.5  # part of the other's wait that makes a parent the faster one beyond the noise of few misses
+OLD_FLEET, FLEET_FOR = 4, 10  # the routers that steps for a source of all were tuned with; and the most
 SPEAKS_FOR = 6  # most others' events that one own event stands for: routers of a place meet the same troubles
 COLD_SAFETY = 0.5  # part of the cold budget that is spent; weights are rough and traffic comes in bursts
 LATE_CUT, FULL_CUT = 0.93, 0.9  # a late answer and a refusal shrink the cache's limit on what is out
@@ -85,6 +86,7 @@
         here = settings.zone_routers[settings.zone:settings.zone + 1]
         self.seats = max(here[0] if here and here[0] else settings.routers, 1)  # routers of this zone
         self.speaks = min(self.seats, SPEAKS_FOR)
+        self.fleet = min(max(self.speaks, settings.routers // OLD_FLEET), FLEET_FOR)  # same for the origin
         self.acts: list[w.Action] = []
         self.nodes, self.ring = dict[int, Node](), Ring()
         self.caches, self.parents, self.origins = list[Node](), list[Node](), list[Node]()
@@ -180,10 +182,14 @@
             room, away = node.limit * held.rich * (SPILL if away else 1.0), True
             if not self._has_room(node, room):
                 continue
-            if node.member.cache not in held.tried and self.random.random() < self._trust(node, self.caches):
+            if (not held.write and node.member.cache not in held.tried
+                    and self.random.random() < self._trust(node, self.caches)):
                 return node
             spare.append(node)
-        return min(spare, key=lambda n: (held.tried.count(n.member.cache), self._pain(n)), default=None)
+        # A write is kept nowhere and may have but one attempt: no trials, the least pain, then ring order.
+        digits = 1 if held.write else 9
+        return min(spare, default=None,
+                   key=lambda n: (held.tried.count(n.member.cache), round(self._pain(n), digits)))
 
     def _has_room(self, node: Node, room: float) -> bool:
         """Part of an attempt is a chance, so that limits below one add up over many routers."""
@@ -386,11 +392,11 @@
 
     def _fill(self, held: Held, timely: bool, near: bool = False) -> None:
         cls, near = held.ask.cls, near or held.near
-        shares = self.near if near else self.fills
+        shares, speaks = (self.near, self.speaks) if near else (self.fills, self.fleet)
         # Steps grow while no fill is late: with few fills of its own a router would be long behind.
         streak = self.streak[cls, near] = self.streak.get((cls, near), 0) + 1 if timely else 0
-        shares[cls] = (min(shares[cls] + FILL_STEP * self.speaks * streak, MOST_FILLS) if timely else
-                       max(shares[cls] * FILL_CUT**self.speaks, LEAST_FILLS))
+        shares[cls] = (min(shares[cls] + FILL_STEP * speaks * streak, MOST_FILLS) if timely else
+                       max(shares[cls] * FILL_CUT**speaks, LEAST_FILLS))
         if not timely:
             self.late_at[cls] = self.now
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -92,3 +92,31 @@
     for _ in range(70):  # seven seconds without a single fill
         d.event(w.TimerFired(0), after=100 * MS)
     assert d.router.fills[0] >= 1.0
+
+
+def test_an_order_goes_where_pain_is_least_and_never_on_trial(drive):
+    order = make_class(w.Effect.AT_MOST_ONCE, write=True, name="order")
+    d = crowd(drive, classes=(make_class(), order))
+    bad = d.router.caches[0]
+    for i in range(400):  # reads that succeed elsewhere show that the store, not they, was at fault
+        d.ask(f"k{i}", size_kb=300.0, after=10 * MS)
+        for attempt in range(3):
+            cache = d.router.attempts[d.id, attempt][2]
+            if cache is not bad:
+                d.end(w.Status.SERVED, attempt, note=w.Note.HIT)
+                break
+            d.end(w.Status.ERROR, attempt)
+    assert d.router._pain(bad) > 0.5
+    for i in range(200):
+        (act,) = sends(d.ask(f"o{i}", cls=1))
+        assert act.cache != bad.member.cache
+        d.end(w.Status.SERVED)
+
+
+def test_a_late_fill_speaks_for_more_where_more_gateways_share_the_origin(drive):
+    shares = []
+    for routers in (4, 40):
+        d = drive(fleet(), routers=routers, zone_routers=(0, 1))
+        fill(d, "slow", SLOW)
+        shares.append(d.router.fills[0])
+    assert shares[1] < 0.7 * shares[0]
