--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,6 +1,7 @@
 """The fleet grown large: some forty gateways, each of which meets most stores seldom."""
 
-from conftest import MS, S, fleet, make_class, sends
+import pytest
+from conftest import MS, Drive, S, fleet, make_class, member, sends
 
 from olivecourse import interface as w
 
@@ -120,3 +121,45 @@
         fill(d, "slow", SLOW)
         shares.append(d.router.fills[0])
     assert shares[1] < 0.7 * shares[0]
+
+
+@pytest.mark.parametrize("parent", [False, True])
+def test_the_cold_budget_holds_as_a_sum_over_all_gateways_in_every_window(parent):
+    """Everyone is told of the start in the same instant, and everyone has work for what starts."""
+    seats, start = (40 if parent else 7), 100 * S
+    cold = member(50, 1, 0, start, weight=20.0) if parent else member(1, 0, 1, start)
+    others = [m for m in fleet() if m.cache != cold.cache and (m.kind != 1 or not parent)]
+    drives = [Drive((*others, cold), seed=seed, routers=40, zone_routers=(0, 7)) for seed in range(seats)]
+    sent = []
+    for step in range(300):  # six seconds of the ramp, fifty requests a second and gateway
+        for number, d in enumerate(drives):
+            for act in sends(d.ask(f"{number}/{step}", after=20 * MS, size_kb=500.0)):
+                if cold.cache in (act.cache, act.source):
+                    sent.append((d.now, 0.5))  # seconds of sending
+                d.end(w.Status.SERVED, request=act.request, after=0, note=w.Note.FILLED)
+    s = drives[0].router.s
+    floor, ramp, multiple = ((s.parent_cold_from, s.parent_cold_ns, s.parent_fall_multiple) if parent else
+                             (s.cold_from, s.cold_ns, s.fall_multiple))
+    assert len(sent) > 10
+    for begin in range(start, start + 4 * S, 100 * MS):
+        work = sum(part for at, part in sent if begin <= at < begin + s.fall_ns)
+        now = floor + (1 - floor) * (begin - start) / ramp  # what it can do at the window's beginning
+        assert work <= multiple * now * cold.weight * s.fall_ns / 1e9, (begin - start, work)
+
+
+def test_what_is_known_stays_bounded_while_ids_keep_being_replaced(drive):
+    live = list(range(100, 160))
+    d = drive((*map(member, live), *fleet(0)), routers=40, zone_routers=(0, 7))
+    r = d.router
+    for turn in range(200):
+        old, new = live.pop(0), 1000 + turn
+        live.append(new)
+        d.list([member(old, state=w.State.GONE), member(new, ready_at_ns=d.now)])
+        d.ask(f"k{turn}", size_kb=300.0, after=50 * MS)
+        token = max(r.timers)
+        if (d.id, 0) in r.attempts:
+            d.end(w.Status.SERVED, note=w.Note.HIT)
+        d.event(w.TimerFired(token))
+        d.event(w.TimerFired(0))
+    assert len(r.nodes) == 63 and len(r.caches) == 60
+    assert not r.held and not r.timers and not r.attempts and len(r.streak) <= 2 * len(r.fills)
