Hand clients over between the two processes of an upgrade; changes stay changes at a start

Causes: connections that are never idle ended with the old process; and notices._pool told every list among the events of the start as a whole one, so a start during a release knew one cache. Ruled out: the board (a trace shows every event told), the hand-over, CPU.

--- a/olivecourse/config.py
+++ b/olivecourse/config.py
@@ -49,6 +49,7 @@
     memory_mb: int = 192
     board: Address | None = None
     mgmt: Address | None = None  # the operators' door
+    tmpdir: str | None = None  # what two processes of one gateway share; used with a door only
     peer_listen: Address | None = None
     peers: list[Address] = field(default_factory=list)
     peers_all: Address | None = None
@@ -94,6 +95,7 @@
             sockets=int(limits.get("sockets", 1024)), memory_mb=int(limits.get("memory_mb", 192)),
             board=_address(raw, "board"),
             mgmt=_address({"mgmt": env.get("EDGE_MGMT") or raw.get("mgmt")}, "mgmt"),
+            tmpdir=env.get("TMPDIR"),
             peer_listen=_address(raw, "peer_listen"),
             peers=[parse_address(p) for p in raw.get("peers", ())], peers_all=_address(raw, "peers_all"))
     except Malformed as error:
--- a/olivecourse/fronts/listener.py
+++ b/olivecourse/fronts/listener.py
@@ -5,6 +5,7 @@
 import ipaddress
 import socket
 from collections.abc import Callable
+from dataclasses import dataclass
 from itertools import islice
 from typing import Any, Protocol
 
@@ -30,6 +31,33 @@
     def turned_away(self, cls: int) -> None: ...
 
 
+class Heir(Protocol):
+    """Where one client's connection went, or came from: another process of this gateway."""
+
+    def answer(self, number: int, frame: bytes) -> None:
+        """The frame that ends a number which is still open here."""
+        ...
+
+    def forget(self, number: int) -> None:
+        """The client stopped waiting for a number that is open there."""
+        ...
+
+    def gone(self) -> None:
+        """The client has left."""
+        ...
+
+
+@dataclass(frozen=True)
+class Handed:
+    """A client's connection in the state in which it changes hands."""
+
+    last: int  # the highest number so far
+    taken: int  # requests that could be read
+    open: list[int]  # numbers whose answers are still to come from elsewhere
+    read: bytes  # come and not yet used
+    unsent: bytes  # answers, or the rest of one, that the client has not taken
+
+
 class Client(Stream):
     """One client's connection; subclasses call `settle` whenever what is open on it has changed."""
 
@@ -75,7 +103,8 @@
 
     def __init__(self, loop: Loop, address: Address, core: Taker, classes: dict[str, tuple[int, bool]],
                  wait_ns: int, most: int, unread: int, log: Callable[..., None],
-                 shared: bool = False) -> None:
+                 shared: bool = False, sock: socket.socket | None = None) -> None:
+        """`sock` listens already, in another process too, and is used in place of `address`."""
         self.loop, self.core, self.classes = loop, core, classes
         self.wait_ns, self.log, self._most, self._unread = wait_ns, log, most, unread
         self.clients: set[Client] = set()
@@ -84,7 +113,8 @@
         # else a crowd of them drives out the connections of usual clients, who then add to it by coming back.
         self._once: dict[Client, int] = {}
         self._idle: dict[Client, int] = {}
-        self._sock = listen(address, shared)
+        self._sock = listen(address, shared) if sock is None else sock
+        self._sock.setblocking(False)
         self.port: int = self._sock.getsockname()[1]
         self._closed = False
         self.names = False  # whether requests are to tell who asks
@@ -115,6 +145,22 @@
             self.clients.add(client)
             self.place(client)
 
+    def fileno(self) -> int:
+        """Of the listening socket, for another process that is to accept here too; -1 once it is closed."""
+        return self._sock.fileno()
+
+    def limit(self, most: int, unread: int) -> None:
+        """New limits on clients and on bytes of unread answers; who is idle and over them leaves now."""
+        self._most, self._unread = most, unread
+        while len(self.clients) > most and self._make_room():
+            pass
+
+    def no_more(self) -> None:
+        """Stops accepting. Where another process accepts on the same socket, nobody is turned away."""
+        if self._sock.fileno() >= 0:
+            self.loop.forget(self._sock)
+            self._sock.close()
+
     def place(self, client: Client) -> None:
         """Files a client by what is open on it."""
         self._lift(client)
@@ -176,7 +222,6 @@
 
     def close(self) -> None:
         self._closed = True
-        self.loop.forget(self._sock)
-        self._sock.close()
+        self.no_more()
         for client in list(self.clients):
             client.close("end")
--- a/olivecourse/fronts/thrift.py
+++ b/olivecourse/fronts/thrift.py
@@ -25,7 +25,7 @@
     encode,
     refusal_frame,
 )
-from olivecourse.fronts.listener import Client, Listener, Taker
+from olivecourse.fronts.listener import Client, Handed, Heir, Listener, Taker
 from olivecourse.net.loop import Loop
 from olivecourse.net.stream import Address
 
@@ -95,10 +95,14 @@
         self._send(refusal_frame(self._number, False, {}))
 
     def _send(self, frame: bytes) -> None:
-        self._client.asked.pop(self._number, None)
-        self._client.write(frame)
-        if not self._client.asked:
-            self._client.settle()
+        client = self._client
+        client.asked.pop(self._number, None)
+        if client.heir is not None:
+            client.heir.answer(self._number, frame)
+            return
+        client.write(frame)
+        if not client.load():
+            client.settle()
 
 
 class ThriftClient(Client):
@@ -106,10 +110,66 @@
         self.front = front
         self.asked: dict[int, str] = {}  # open requests by their numbers
         self.last = 0  # the highest number so far
+        self.heir: Heir | None = None  # the process that has the connection now
+        self.elder: Heir | None = None  # the process that had it, and owes answers to these numbers
+        self.foreign: set[int] = set()
         super().__init__(front, sock, MOST_FRAME + 4, MOST_OUT)
 
     def load(self) -> int:
-        return len(self.asked)
+        return len(self.asked) + len(self.foreign)
+
+    def hand_over(self, heir: Heir) -> Handed:
+        """From here on the connection is another process's; what is open here is answered through `heir`.
+
+        The caller passes the descriptor on and closes it.
+        """
+        self.heir = heir
+        self.detach()
+        self.front.left(self)
+        return Handed(self.last, self.taken, [*self.asked, *self.foreign], self.inbox.take(len(self.inbox)),
+                      self.outbox.take(len(self.outbox)))
+
+    def take_over(self, handed: Handed, elder: Heir) -> None:
+        """The other side of `hand_over`."""
+        self.last, self.taken, self.foreign, self.elder = handed.last, handed.taken, set(handed.open), elder
+        self.answered = True
+        if handed.unsent:
+            self.write(handed.unsent)
+        if handed.read and self.open:
+            self.inbox.write(handed.read)
+            self.received()
+        if self.open:
+            self.settle()
+
+    def from_elder(self, number: int, frame: bytes) -> None:
+        """An answer that the other process owed."""
+        if number not in self.foreign:
+            return
+        self.foreign.discard(number)
+        if self.heir is not None:
+            self.heir.answer(number, frame)
+            return
+        self.write(frame)
+        if not self.load():
+            self.settle()
+
+    def elder_lost(self) -> None:
+        """The other process has ended: what it owed has failed, as it may have run."""
+        for number in list(self.foreign):
+            self.from_elder(number, refusal_frame(number, False, {}))
+
+    def from_heir(self, number: int | None) -> None:
+        """The client, held by another process, stopped waiting for a number; None: for all, it has left."""
+        for each in [number] if number is not None else [*self.asked, *self.foreign]:
+            self._forget(each)
+
+    def _forget(self, number: int) -> None:
+        request = self.asked.pop(number, None)
+        if request is not None:
+            self.front.core.leave(request)
+        elif number in self.foreign and self.elder is not None:
+            self.foreign.discard(number)
+            self.elder.forget(number)
 
     def received(self) -> None:
         whole = self._frames()
@@ -147,9 +207,8 @@
         if kind not in (TMessageType.CALL, TMessageType.ONEWAY):
             self._bad(f"message type {kind}")
         elif isinstance(args, ForgetArgs):
-            request = self.asked.pop(args.seqid if isinstance(args.seqid, int) else -1, None)
-            if request is not None:
-                self.front.core.leave(request)
+            self._forget(args.seqid if isinstance(args.seqid, int) else -1)
+            if self.open:
                 self.settle()
         elif isinstance(args, IsWellArgs):
             well = Result(success=Answer(body=b"", fields={}, good=self.front.is_well()))
@@ -166,7 +225,7 @@
             self._bad("sequence number not above the last")
             return
         self.last = number
-        if len(self.asked) >= MOST_OPEN:
+        if self.load() >= MOST_OPEN:
             named = args.fields.get("c", "") if isinstance(args.fields, dict) else ""
             if named in self.front.classes:
                 self.front.core.turned_away(self.front.classes[named][0])
@@ -181,7 +240,7 @@
         ask.client = self.who()
         self.asked[number] = ask.request
         self.taken += 1
-        if len(self.asked) == 1:
+        if self.load() == 1:
             self.settle()
         try:
             self.front.core.take(ask, body, holds, ThriftReply(self, number))
@@ -199,6 +258,9 @@
 
     def closed(self, why: str) -> None:
         super().closed(why)
+        if self.foreign and self.elder is not None:
+            self.foreign.clear()
+            self.elder.gone()
         asked, self.asked = self.asked, {}
         for request in asked.values():
             self.front.core.leave(request)
@@ -207,9 +269,16 @@
 class ThriftFront(Listener):
     def __init__(self, loop: Loop, address: Address, core: Taker, classes: dict[str, tuple[int, bool]],
                  is_well: Callable[[], bool], wait_ns: int, most: int, unread: int,
-                 log: Callable[..., None], shared: bool = False) -> None:
+                 log: Callable[..., None], shared: bool = False, sock: socket.socket | None = None) -> None:
         self.is_well = is_well
-        super().__init__(loop, address, core, classes, wait_ns, most, unread, log, shared)
+        super().__init__(loop, address, core, classes, wait_ns, most, unread, log, shared, sock)
 
     def client(self, sock: socket.socket) -> Client:
         return ThriftClient(self, sock)
+
+    def adopt(self, sock: socket.socket, handed: Handed, elder: Heir) -> ThriftClient:
+        """Takes a client's connection over from another process, also past the limit: it was let in there."""
+        client = ThriftClient(self, sock)
+        self.clients.add(client)
+        client.take_over(handed, elder)
+        return client
--- a/olivecourse/gateway.py
+++ b/olivecourse/gateway.py
@@ -34,6 +34,7 @@
     from olivecourse.memory.tokenstore import DurableSpent
     from olivecourse.ops.desk import GatewayDesk
     from olivecourse.ops.door import Door
+    from olivecourse.ops.succession import Succession
 
 MS = 1_000_000
 PER_STORE = 24  # connections to one store, as far as the descriptors allow
@@ -83,6 +84,13 @@
 
             self.desk = GatewayDesk(self, [c.name for c in s.classes], self.ledger, self.pool,
                                     self.directory, log)
+        self.succession: Succession | None = None
+        if self.desk is not None:
+            from olivecourse.ops.succession import open_succession
+
+            self.succession = open_succession(loop, config.tmpdir, config.name, self.desk, self._share, log)
+            if self.succession is not None:
+                self.desk.spoken = self.succession.say
         self.peers: Peers | None = None
         if config.peer_listen is not None:
             self.peers = Peers(loop, config.peer_listen, config.peers, config.peers_all,
@@ -102,6 +110,8 @@
                 from olivecourse.storm.guard import Guard
 
                 self.local.watch(Guard(config.storms.policy(), s, loop.clock.now(), Random(s.seed).random))
+            if self.succession is not None:
+                self.succession.teach(self.local.router)
             self.carry_out(self.local.start())
         self.told(config.notices, first=True)
         if config.planner is not None:
@@ -115,23 +125,37 @@
         self.spent: DurableSpent | None = None
         self.front: Listener = self._front()
         self.front.names = config.storms is not None
+        if self.succession is not None:
+            self.succession.start(self.front)
         if self.desk is not None and config.mgmt is not None:
             self.door = Door(loop, config.mgmt, self.desk, log)
         if config.inventory is not None:
             loop.after(FILES_NS, self._look_at_files)
 
+    def _room(self, sockets: int) -> tuple[int, int]:
+        """Clients, and bytes of their unread answers, with so many of the descriptors for this process."""
+        config = self.config
+        # Usual clients take a third of the descriptors at most. What stores and our own files leave besides
+        # is room for those who connect and say nothing, so that fewer have to be closed for a newcomer.
+        door = DOOR_SOCKETS if config.mgmt is not None else 0
+        most = max(sockets // 3, sockets - self.pool.limits.total - PER_STORE - OWN_SOCKETS - door)
+        return most, config.memory_mb * 2**20 // 8 * sockets // max(config.sockets, 1)
+
+    def _share(self, shared: bool) -> None:
+        """Another process of this gateway lives, or no longer: both together keep within one's limits."""
+        sockets = self.config.sockets // 2 if shared else self.config.sockets
+        self.pool.limits = replace(self.pool.limits, total=max(sockets // 2 - 32, 16))
+        self.front.limit(*self._room(sockets))
+
     def _front(self) -> Listener:
         config, s = self.config, self.config.settings
         classes = {c.name: (i, c.write) for i, c in enumerate(s.classes)}
         wait = s.max_retry_after_ns if s.retry_after else 0
-        # Usual clients take a third of the descriptors at most. What stores and our own files leave besides
-        # is room for those who connect and say nothing, so that fewer have to be closed for a newcomer.
-        most = max(config.sockets // 3,
-                   config.sockets - self.pool.limits.total - PER_STORE - OWN_SOCKETS - DOOR_SOCKETS)
-        unread = config.memory_mb * 2**20 // 8
+        most, unread = self._room(config.sockets)
         if config.signed is None:
             return ThriftFront(self.loop, config.listen, self.ledger, classes, lambda: not self.stopping,
-                               wait, most, unread, self.log, config.mgmt is not None)
+                               wait, most, unread, self.log, config.mgmt is not None,
+                               None if self.succession is None else self.succession.listener)
         from olivecourse.fronts.signed import SignedFront  # only here: the platform's gateway needs neither
         from olivecourse.fronts.tokens import Tokens, read_keys
 
@@ -242,7 +266,11 @@
         waiting = self.board is not None and not self.board.answered
         if waiting and self.loop.clock.now() - self.started < BOARD_NS:
             return "the notice board has not answered yet"
-        return "" if self.remote is None or self.remote.stream is not None else "no planner"
+        if self.remote is not None and self.remote.stream is None:
+            return "no planner"
+        if self.succession is not None:
+            self.succession.serves()
+        return ""
 
     def avoided(self) -> set[int]:
         """What the module avoids; a planner in a process of its own is not asked."""
@@ -312,12 +340,14 @@
         longest = max(c.deadline_ns for c in self.config.settings.classes)
         last = min(longest, LONGEST_NS) + 700 * MS - STOP_MARGIN_NS
         self.log("stopping", open=self.ledger.open, **self.ledger.tally)
-        self.loop.after(LINGER_NS, self._may_end)
+        handed = self.succession is not None and self.succession.retire()
+        self.loop.after(0 if handed else LINGER_NS, self._may_end)
         self.loop.after(last, lambda: self.ledger.give_up_all("stopping"))
         self.loop.after(last + STOP_MARGIN_NS // 2, self._end)
 
     def _may_end(self) -> None:
-        if not self.ledger.open and self.front.flushed():
+        flushed = self.front.flushed() and (self.succession is None or self.succession.flushed())
+        if not self.ledger.open and flushed:
             self._end()
         else:
             self.loop.after(20 * MS, self._may_end)
@@ -341,6 +371,8 @@
                 kept.stop()
         if self.board is not None:
             self.board.stop()
+        if self.succession is not None:
+            self.succession.close()
         if self.door is not None:
             self.door.close()
         if self.remote is not None:
--- a/olivecourse/net/stream.py
+++ b/olivecourse/net/stream.py
@@ -149,6 +149,12 @@
             self._mask = mask
             self.loop.change(self.sock, mask, self._ready)
 
+    def detach(self) -> socket.socket:
+        """Lets go of the socket without closing it, for another owner; `closed` does not come."""
+        self.open = False
+        self.loop.forget(self.sock)
+        return self.sock
+
     def close(self, why: str = "done") -> None:
         if not self.open:
             return
--- a/olivecourse/notices.py
+++ b/olivecourse/notices.py
@@ -86,7 +86,8 @@
                 self.ended[m.cache] = m.ready_at_ns
             self.states[m.cache] = m.state
             self.members[m.cache] = m
-        kind = w.ListKind.HELD if first else w.ListKind.FULL if whole else w.ListKind.CHANGES
+        # Changes are changes, also among the events of the start: taken as a list they would end all others.
+        kind = w.ListKind.CHANGES if not whole else w.ListKind.HELD if first else w.ListKind.FULL
         return w.CacheList(int(pool.get("revision", 0)), kind, tuple(map(self.shown, members)))
 
     def _forget(self, cache: int) -> None:
--- a/olivecourse/ops/desk.py
+++ b/olivecourse/ops/desk.py
@@ -36,6 +36,7 @@
         self._owner, self._ledger, self._pool, self._directory = owner, ledger, pool, directory
         self._log = log
         self.bans = Bans(time.time_ns)
+        self.spoken: Callable[[], None] = lambda: None  # after a call that changed a ban
         directory.out = self.bans.out
         self._figures = Figures(self)
 
@@ -48,15 +49,23 @@
         return self._figures.text()
 
     def listed(self, store: str) -> bool:
-        return store in self._directory.heard_of or store in self._directory.names.values()
+        return (store in self._directory.heard_of or store in self.bans.words  # said to the process before
+                or store in self._directory.names.values())
 
     def take_out(self, store: str) -> None:
-        if self.bans.say(store, True):
-            self._changed({store})
+        self._say(store, True)
 
     def take_back(self, store: str) -> None:
-        if self.bans.say(store, False):
+        self._say(store, False)
+
+    def _say(self, store: str, out: bool) -> None:
+        if self.bans.say(store, out):
             self._changed({store})
+            self.spoken()
+
+    def said(self) -> list[tuple[str, Word]]:
+        """The last word on each id."""
+        return list(self.bans.words.items())
 
     def hear(self, words: Iterable[tuple[str, Word]]) -> None:
         """Words that another process of this gateway has said, or said before it ended."""
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -134,7 +134,7 @@
 class Stage:
     """The gateway with one cache, one parent and the origin as scripted peers."""
 
-    def __init__(self, board=False, **more):
+    def __init__(self, board=False, env=None, **more):
         self.cache, self.parent, self.origin = Peer(), Peer(), Peer()
         self.board = Peer() if board else None
         self.logged, self.peers = [], [self.cache, self.parent, self.origin]
@@ -144,7 +144,7 @@
         raw = {"name": "n0", "listen": "127.0.0.1:0", "seed": "05", "settings": SETTINGS,
                "known": {"rev": 1, "notices": [
                    {"rev": 1, "pool": {"revision": 1, "complete": True, "members": members}}]}, **more}
-        self.raw = raw
+        self.raw, self.env = raw, env or {}
         if self.board:
             raw["board"] = self.board.address
             self.peers.append(self.board)
@@ -152,7 +152,7 @@
         self.clients = []
 
     def config(self, raw):
-        return read_config(raw, {})
+        return read_config(raw, self.env)
 
     def turn(self):
         self.gateway.loop.turn(5_000_000)
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -11,6 +11,7 @@
 from stage import OBJECT, REQUEST, Stage, drain, member
 
 from olivecourse import interface as w
+from olivecourse.gateway import Gateway
 from olivecourse.ops.bans import Bans, Word
 from olivecourse.ops.door import MOST_CALLERS
 
@@ -198,3 +199,21 @@
             w.Member(1, 1.0)) == w.Member(1, 1.0)
     finally:
         stage.close()
+
+
+def test_changes_among_the_events_of_a_start_do_not_end_the_stores_that_they_do_not_name():
+    """Seen on a bench day: a gateway started during a release knew only the last store it was told of."""
+    stage = Stage()
+    try:
+        more = member("s-00000002", stage.cache.address)
+        raw = stage.raw | {"known": {"rev": 2, "notices": [
+            *stage.raw["known"]["notices"],
+            {"rev": 2, "pool": {"revision": 2, "complete": False, "members": [more]}}]}}
+        late = Gateway(stage.config(raw), lambda event, **v: None)
+        late.decide()
+        assert {n.member.cache for n in late.local.router.caches} == {1, 2}
+        assert late.local.router.parents and late.local.router.origins
+        late.front.close()
+        late.loop.close()
+    finally:
+        stage.close()
