--- a/benchmarks/_program.py
+++ b/benchmarks/_program.py
@@ -16,14 +16,19 @@
 
 
 class Gateway:
-    """`python -m olivecourse serve` with an operator's file; its log is read by a thread."""
+    """`python -m olivecourse serve` with an operator's file, or `words` alone; a thread reads its log."""
 
-    def __init__(self, operator: Path, *words: str) -> None:
+    def __init__(self, operator: Path | None, *words: str, native: bool = False, **env: str) -> None:
+        """`native`: the compiled copy, as the platform runs it, if it was built."""
+        native = native and (ROOT / ".native" / "stamp").exists()
+        start = [sys.executable, *(("-P",) if native else ()), "-m", "olivecourse", "serve"]
+        if operator is not None:
+            words = ("--operator", str(operator), *words)
         self.lines: list[dict[str, Any]] = []
         self._came = threading.Condition()
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "olivecourse", "serve", "--operator", str(operator), *words], cwd=ROOT,
-            text=True, stderr=subprocess.PIPE, env={**os.environ, "PYTHONPATH": str(ROOT)})
+            [*start, *words], cwd=ROOT, text=True, stderr=subprocess.PIPE,
+            env={**os.environ, "PYTHONPATH": str(ROOT / ".native" if native else ROOT), **env})
         self._reader = threading.Thread(target=self._read, daemon=True)
         self._reader.start()
 
@@ -53,6 +58,15 @@
     def port(self) -> int:
         return int(self.event("ready")["listen"].rpartition(":")[2])
 
+    def held(self) -> tuple[float, int]:
+        """Resident memory in MB, and open descriptors; zeros once it has ended."""
+        try:
+            status = Path(f"/proc/{self.process.pid}/status").read_text()
+            kb = next((int(x.split()[1]) for x in status.splitlines() if x.startswith("VmRSS")), 0)
+            return kb / 1024, len(os.listdir(f"/proc/{self.process.pid}/fd"))
+        except OSError:
+            return 0.0, 0
+
     def kill(self) -> None:
         self.end(signal.SIGKILL)
 
--- a/olivecourse/gateway.py
+++ b/olivecourse/gateway.py
@@ -276,6 +276,9 @@
         """What the module avoids; a planner in a process of its own is not asked."""
         return set() if self.local is None else self.local.router.avoided()
 
+    def longest_turn_s(self) -> float:
+        return self.loop.longest_ns / 1e9
+
     def emit(self, event: w.Event) -> None:
         self.batch.append(event)
 
--- a/olivecourse/net/loop.py
+++ b/olivecourse/net/loop.py
@@ -33,6 +33,7 @@
         self.wheel = Wheel(self.clock.now())
         self.running = True
         self.lag_ns = 0  # how long what arrives may have waited for the turn before to end
+        self.longest_ns = 0  # the longest turn since the start, with what was decided in it
         self._woke = self.clock.now()
         self._selector = selectors.DefaultSelector()
 
@@ -66,6 +67,7 @@
             self.turn()
             decide()
             self.lag_ns = self.clock.now() - self._woke
+            self.longest_ns = max(self.longest_ns, self.lag_ns)
 
     def close(self) -> None:
         self._selector.close()
--- a/olivecourse/ops/desk.py
+++ b/olivecourse/ops/desk.py
@@ -26,6 +26,8 @@
         """Stores that the module avoids by its own choice or as the list tells."""
         ...
 
+    def longest_turn_s(self) -> float: ...
+
     def emit(self, event: w.Event) -> None: ...
 
 
@@ -95,5 +97,8 @@
         avoided = {c for c in listed if not self._directory.ready(c)} | self._owner.avoided()
         return len(listed), len(avoided & listed.keys())
 
+    def longest_turn_s(self) -> float:
+        return self._owner.longest_turn_s()
+
     def reloads(self) -> tuple[int, int]:
         return self._owner.conf_loaded, self._owner.conf_invalid
--- a/olivecourse/ops/figures.py
+++ b/olivecourse/ops/figures.py
@@ -34,6 +34,10 @@
         draining, or failing so much that the module avoids them."""
         ...
 
+    def longest_turn_s(self) -> float:
+        """Seconds of the longest turn of the loop since the start: so long may an answer have waited."""
+        ...
+
     def reloads(self) -> tuple[int, int]:
         """Configurations taken up (the one of the start too), and refused."""
         ...
@@ -66,6 +70,8 @@
         listed, avoided = source.cluster()
         yield GaugeMetricFamily("app_cluster_size", "Stores in the list.", value=listed)
         yield GaugeMetricFamily("app_cluster_unhealthy", "Listed stores that get nothing now.", value=avoided)
+        yield GaugeMetricFamily("app_turn_seconds_max", "The longest turn of the loop.",
+                                value=source.longest_turn_s())
         loaded, invalid = source.reloads()
         yield CounterMetricFamily("app_conf_loaded", "Configurations taken up.", value=loaded)
         yield CounterMetricFamily("app_conf_invalid", "Configurations refused.", value=invalid)
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -15,6 +15,9 @@
 from olivecourse.ops.bans import Bans, Word
 from olivecourse.ops.door import MOST_CALLERS
 
+GAUGES = {"app_current", "app_cluster_size", "app_cluster_unhealthy", "app_turn_seconds_max",
+          "app_conf_loaded_total", "app_conf_invalid_total"}
+
 
 @pytest.fixture
 def stage():
@@ -104,7 +107,7 @@
 
 def test_figures_count_each_end_and_each_attempt_once(stage):
     start = figures(stage)
-    assert {k: v for k, v in start.items() if not k.startswith("app_c")} == {
+    assert {k: v for k, v in start.items() if k not in GAUGES} == {
         total(s, g): 0 for s in ("answered", "deferred", "errored") for g in ("fichiers", "commande")
     } | {"app_sends_total": 0}
     assert start["app_cluster_size"] == 3 and start["app_cluster_unhealthy"] == start["app_current"] == 0
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -3,6 +3,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -240,3 +241,37 @@
     until_said("ended")
     assert shown.wait(20) == 0
     shown.stdout.close()
+
+
+def free():
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+def test_operators_commands_and_an_upgrade_as_the_page_tells(world):
+    folder, cache, start = world
+    config, door, next_door = str(folder / "config.json"), free(), free()
+    assert run("ops", "ready", EDGE_MGMT=door).returncode == 3
+    assert run("ops", "ready", EDGE_MGMT="nowhere").returncode == 2
+    assert run("serve", "--config", config, EDGE_MGMT="nowhere").returncode == 2
+    old = start("serve", "--config", config, EDGE_MGMT=door, TMPDIR=str(folder))
+    client = old.client()
+    said = [run("ops", *words, "--address", door) for words in (
+        ["ready"], ["stats"], ["down", "s-00000008"], ["down", "s-0000000f"])]
+    assert [d.returncode for d in said] == [0, 0, 0, 1], [d.stderr for d in said]
+    assert "app_cluster_size 3.0" in said[1].stdout and "no list has named" in said[3].stderr
+    client.call(1)
+    request = until(cache.line).split(" ")[1]
+    new = start("serve", "--config", config, EDGE_MGMT=next_door, TMPDIR=str(folder))
+    until(lambda: run("ops", "ready", "--address", next_door).returncode == 0)
+    old.process.send_signal(signal.SIGTERM)
+    assert old.event("handed_over")["clients"] == 1
+    client.call(2, i="22" * 8)  # from here on the new one reads
+    assert f"fetch {'22' * 8}" in until(cache.line)
+    cache.say(f"{request} data version=aa,stamp=1,n=HIT 5\r\nhello\r\n".encode(), 0)
+    assert until(client.answers) == [(1, "success", {}, b"hello")]
+    assert old.process.wait(30) == 0 and not client.closed
+    stats = run("ops", "stats", "--address", next_door).stdout
+    assert "app_cluster_unhealthy 1.0" in stats, "the ban holds in the new one"
+    assert run("ops", "up", "s-00000008", "--address", next_door).returncode == 0
+    assert new.end() == 0
