--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -11,6 +11,7 @@
 from stage import OBJECT, REQUEST, Stage, drain, member
 
 from olivecourse import interface as w
+from olivecourse.fronts import codec
 from olivecourse.gateway import Gateway
 from olivecourse.ops.bans import Bans, Word
 from olivecourse.ops.door import MOST_CALLERS
@@ -220,3 +221,59 @@
         late.loop.close()
     finally:
         stage.close()
+
+
+def some(sock, most=10_000):
+    try:
+        return sock.recv(most)
+    except BlockingIOError:
+        return b""
+
+
+def test_a_request_that_comes_byte_by_byte_over_two_seconds_is_served_and_so_is_a_slow_reader(stage):
+    """Fronts, stores and the door take messages cut anywhere; slow is not broken."""
+    client = stage.client()
+    fields = {"c": "fichiers", "i": REQUEST, "o": OBJECT, "d": "5000", "n": "0", "m": "41.5", "shard": "17"}
+    frame = codec.encode("serve", 1, 1, codec.ServeArgs(fields=fields, body=b""))
+    began = time.monotonic()
+    for at in range(len(frame)):
+        client.sock.sendall(frame[at:at + 1])
+        due = began + 2.1 * at / len(frame)
+        stage.turn()
+        while time.monotonic() < due:
+            stage.turn()
+    assert f"fetch {REQUEST}" in stage.until(stage.cache.line)
+    answer = b"%s data version=a1,stamp=5,n=HIT 200000\r\n%s\r\n" % (REQUEST.encode(), b"x" * 200_000)
+    for at in range(0, len(answer), 20_000):
+        stage.cache.say(answer[at:at + 20_000])
+        stage.turn()
+    got = b""
+    while len(got) < 200_000:  # some 1 MB a second
+        part = some(client.sock)
+        got += part
+        end = time.monotonic() + 0.01
+        while time.monotonic() < end:
+            stage.turn()
+    assert "client_does_not_read" not in stage.names()
+
+
+def test_answers_of_stores_and_of_the_board_may_be_cut_at_every_byte():
+    stage = Stage(board=True, mgmt="127.0.0.1:0")
+    try:
+        stage.until(lambda: b"watch=1&linger=0" in stage.board.poll())
+        assert call(stage, "GET /ops/readiness")[0] == 503, "the board has not answered yet"
+        body = json.dumps({"rev": 2, "notices": [{"rev": 2, "flush": {"collection": 3, "ms": 5}}]}).encode()
+        for byte in b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body):
+            stage.board.say(bytes([byte]))
+            stage.turn()
+        stage.until(lambda: 3 in stage.gateway.local.router.purges)
+        assert call(stage, "GET /ops/readiness")[0] == 200
+        client = stage.client()
+        client.call(1)
+        stage.until(stage.cache.line)
+        for byte in b"%s data version=a1,stamp=5,n=HIT 5\r\n\r\n\r\n\0\r\n" % REQUEST.encode():
+            stage.cache.say(bytes([byte]))
+            stage.turn()
+        assert stage.until(client.answers) == [(1, "success", {}, b"\r\n\r\n\0")]
+    finally:
+        stage.close()
