Ask again in time where only a lost answer can be the reason

Change: the module looks at a read once, at the last moment at which a repeat is in time, while deadlines over well caches with room show that answers get lost; the pool trusts a connection that was silent for 150 ms before an attempt was called off no longer.

--- a/olivecourse/choice.py
+++ b/olivecourse/choice.py
@@ -54,6 +54,10 @@
 QUICK_NS = 5 * MS  # a cache of the own zone refuses by itself within this; any source is further off
 FILL_CUT, FILL_STEP = 0.95, 0.01  # settles where a sixth of the fills are late
 QUIET_NS, QUIET_GAIN = 1_000 * MS, 1.04  # no fill late for so long, the share grows by so much a tick
+# Lost answers. One shows when a deadline passes over an attempt whose cache answered others meanwhile: it
+# grants so many early repeats. One that is answered in time grants another; calm days know none.
+LOST_GRANT, MOST_LOST = 10.0, 40.0
+SURE, CALL, CALL_NS = 1.3, 1.25, 15 * MS  # times the usual before it seems lost; what a repeat in time takes
 LEAST_FILLS, MOST_FILLS = 0.1, 1.5  # room above one: a few late fills on a calm day refuse nothing
 
 
@@ -104,6 +108,8 @@
         self.retune_at = now + INTERVAL_NS
         self.purges: dict[str | int | None, tuple[int, int]] = {}
         self.retries, self.held_back = RETRY_BURST, False
+        self.lost = 0.0  # early repeats that lost answers have granted
+        self.looks = dict[int, tuple[str, int]]()  # attempts to be looked at, by their timers
         # Learned mean sending times; the start is high, as the cold budget must not be underestimated.
         self.size_ns = [float(c.aim_ns) for c in settings.classes]
         self.price_ns = list(self.size_ns)  # the same for cold budgets, which no memory may stretch
@@ -246,6 +252,7 @@
         held.out[key[1]] = (node, source)
         held.ran.append((self.now, node))
         self.attempts[key] = (self.now, held, node, source)
+        self._look_later(key, held, source)
         node.out[key] = self.now
         for n in (node, source) if source is not node else (node,):
             if n is not None:
@@ -335,7 +342,8 @@
             of_source = self._of_source(end, held, source)
             if of_source:
                 held.bad.append(source)
-            if of_source or end.status is w.Status.RESET:  # where an answer was lost, its copy is: ask again
+            # Where an answer was lost, its copy is: ask again.
+            if of_source or end.status is w.Status.RESET or held.again and end.status is w.Status.CANCELLED:
                 held.tried.remove(node.member.cache)
             self.retries -= not end.status.never_ran  # what never ran cost nothing
             again = self.retries >= 0 and (self.limits is None or self.limits.again(
@@ -367,6 +375,8 @@
                 self._learn(cls, min(lag, aim))
                 self.slow_hit[cls] = slow + TAIL_STEP * aim * ((lag > slow) - TAIL)
             self._blame(held.errors)  # it was not the request
+            if held.again and lag < held.aim:
+                self.lost = min(self.lost + 1.0, MOST_LOST)
             self._hurt(node, hurt, GAIN)
             if source is not None and note not in (w.Note.HIT, w.Note.STALE):
                 self._hurt(source, hurt, GAIN)
@@ -439,9 +449,14 @@
     # Time, discovery and purges ---------------------------------------------------------------------
 
     def _timer(self, fired: w.TimerFired) -> None:
+        if fired.token in self.looks:
+            self._look(self.looks.pop(fired.token))
+            return
         if fired.token:
             held = self.held.get(self.timers.pop(fired.token, ""))
             if held is not None:
+                if any(self._only_lost(*self.attempts[held.ask.request, a]) for a in held.out):
+                    self.lost = min(self.lost + LOST_GRANT, MOST_LOST)
                 self._give_up(held)
             return
         self.acts.append(w.SetTimer(TICK_NS, 0))
@@ -472,6 +487,29 @@
                 self.acts += [w.Cancel(*k) for k in late if self.s.cancel and k[0] in self.held
                               and not self.held[k[0]].write and k[1] + 1 < self.s.max_attempts]
 
+    def _look_later(self, key: tuple[str, int], held: Held, source: Node | None) -> None:
+        """Departure: while answers get lost, a read is looked at when a repeat would just be in time, and no
+        sooner than it usually takes."""
+        usual = held.size_ns + (0.0 if source is None else source.wait or 0.0)
+        last = held.aim - CALL * held.size_ns - CALL_NS
+        if (self.lost >= 1.0 and self.s.cancel and not held.write and held.sent == 1 and held.ask.size_kb
+                and held.cls.effect is w.Effect.IDEMPOTENT and last > SURE * usual):
+            self.serial += 1
+            self.looks[self.serial] = key
+            self.acts.append(w.SetTimer(int(last), self.serial))
+
+    def _look(self, key: tuple[str, int]) -> None:
+        """Asks again where nothing but a lost answer tells why it hangs; once for a request."""
+        found = self.attempts.get(key)
+        if found is not None and key[0] in self.held and self.lost >= 1.0 and self._only_lost(*found):
+            self.lost, found[1].again = self.lost - 1.0, True
+            self.acts.append(w.Cancel(*key))
+
+    def _only_lost(self, sent: int, held: Held, node: Node, source: Node | None) -> bool:
+        """Its cache has answered others meanwhile and has room, and its source is well."""
+        return (node.heard > sent and len(node.out) <= node.limit / 2
+                and (source is None or self._pain(source) <= SLACK))
+
     def _list(self, news: w.CacheList) -> None:
         self.ask_at = self.now + ASK_AGAIN_NS if news.kind is w.ListKind.FAILED else math.inf
         old = self.nodes
--- a/olivecourse/net/stores.py
+++ b/olivecourse/net/stores.py
@@ -19,7 +19,7 @@
 QUIET_NS = 500 * MS
 # Answers arrive in one go, within 0.4 ms of their first byte as measured; one that stops short never ends.
 STUCK_NS, STUCK_MOST_NS = 250 * MS, 2_000 * MS  # without a further byte, and at all
-LOST_NS = 1_000 * MS  # an attempt given up after so long, with nothing heard since it went, lost its answer
+LOST_NS = 150 * MS  # an attempt given up after so long, with nothing heard since it went, lost its answer
 NEAR_NS = 50 * MS  # the module gives up a little before the time is over
 TAG = re.compile(r"[0-9A-Za-z_.-]{1,64}")
 MOST_BODY = 240_000
--- a/olivecourse/state.py
+++ b/olivecourse/state.py
@@ -37,6 +37,7 @@
     key: str
     rich: float = 1.0
     overdue: bool = False
+    again: bool = False  # asked again early, as its answer seemed lost
     chance: float = 0.0  # against the share of requests that may fill
     near: bool = False  # its last attempt may be filled with what a parent holds, and no further
     sent: int = 0
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,7 +1,7 @@
 """The fleet grown large: some forty gateways, each of which meets most stores seldom."""
 
 import pytest
-from conftest import MS, Drive, S, fleet, make_class, member, sends
+from conftest import MS, Drive, S, finals, fleet, make_class, member, sends
 
 from olivecourse import interface as w
 
@@ -163,3 +163,50 @@
         d.event(w.TimerFired(0))
     assert len(r.nodes) == 63 and len(r.caches) == 60
     assert not r.held and not r.timers and not r.attempts and len(r.streak) <= 2 * len(r.fills)
+
+
+def lose_one(d):
+    """A read whose answer never comes, at a cache that answers another one meanwhile."""
+    d.ask("a", size_kb=50.0)
+    lost, cache = d.id, d.router.attempts[(d.id, 0)][2]
+    while True:
+        d.ask(f"k{d.count}", size_kb=50.0)
+        node = d.router.attempts[(d.id, 0)][2]
+        d.end(w.Status.SERVED, note=w.Note.HIT, after=10 * MS)
+        if node is cache:
+            break
+    token = next(t for t, r in d.router.timers.items() if r == lost)
+    return finals(d.event(w.TimerFired(token), after=3 * S))
+
+
+def looks(acts, d):
+    return [a for a in acts if isinstance(a, w.SetTimer) and a.token in d.router.looks]
+
+
+def test_an_answer_that_seems_lost_is_asked_for_again_in_time_once_and_only_after_one_was_lost(drive):
+    d = drive()
+    assert not looks(d.ask("x", size_kb=50.0), d), "calm days know no early repeats"
+    d.end(w.Status.SERVED, note=w.Note.HIT)
+    assert len(lose_one(d)) == 1 and d.router.lost > 1.0
+    (look,) = looks(d.ask("b", size_kb=50.0), d)
+    request, (_, held, cache, _) = d.id, d.router.attempts[(d.id, 0)]
+    assert held.size_ns < look.delay_ns < held.aim - held.size_ns, "a repeat is still in time"
+    cache.heard = d.now + 1
+    (cancel,) = d.event(w.TimerFired(look.token), after=look.delay_ns)
+    assert (cancel.request, cancel.attempt) == (request, 0)
+    (again,) = sends(d.end(w.Status.CANCELLED, request=request, cache=cache.member.cache, closed=False))
+    assert again.cache == cache.member.cache and again.how & w.How.JOIN, "it has kept the copy, or is at it"
+    assert not looks([again], d) and not d.router.looks
+    had = d.router.lost
+    d.end(w.Status.SERVED, attempt=1, request=request, note=w.Note.HIT)
+    assert d.router.lost == had + 1.0
+
+
+def test_silent_caches_slow_reads_and_orders_get_no_early_repeat(drive):
+    d = drive(classes=(make_class(), make_class(w.Effect.AT_MOST_ONCE, name="order", write=True)))
+    lose_one(d)
+    assert not looks(d.ask("o", cls=1, size_kb=50.0), d)
+    assert not looks(d.ask("big", size_kb=2_000.0), d), "no repeat of it would be in time"
+    (look,) = looks(d.ask("c", size_kb=50.0), d)
+    assert d.event(w.TimerFired(look.token), after=look.delay_ns) == [], "nothing shows that the cache lives"
+    assert not d.router.looks
