Hold an upgrade's state apart from its sockets, and mend what a second reading found

(1) Clients, stores and the door could together take more than the descriptors below 196: divided in core/descriptors, shown for 96 to 4,096. (2) A descriptor that is no socket, or a client's bytes over our limit, raised in the loop: now a close. (3) dup at SIGTERM could fail for want of descriptors: they are moved, not copied. (4) The old process kept a part of the datagrams. Tests: the ledger's counts and Standing as properties, all stores out, a store restarted while out, datagrams.

--- a/olivecourse/fronts/thrift.py
+++ b/olivecourse/fronts/thrift.py
@@ -27,6 +27,7 @@
 )
 from olivecourse.fronts.listener import Client, Handed, Heir, Listener, Taker
 from olivecourse.net.loop import Loop
+from olivecourse.net.ringbuf import BufferFull
 from olivecourse.net.stream import Address
 
 MS = 1_000_000
@@ -136,7 +137,11 @@
         if handed.unsent:
             self.write(handed.unsent)
         if handed.read and self.open:
-            self.inbox.write(handed.read)
+            try:
+                self.inbox.write(handed.read)
+            except BufferFull as full:  # of a process with other limits
+                self.close(str(full))
+                return
             self.received()
         if self.open:
             self.settle()
--- a/olivecourse/gateway.py
+++ b/olivecourse/gateway.py
@@ -15,6 +15,7 @@
 
 from olivecourse import interface as w
 from olivecourse.config import Config
+from olivecourse.core.descriptors import split
 from olivecourse.core.ledger import Ledger
 from olivecourse.core.planner import Planner
 from olivecourse.fronts.listener import Listener
@@ -37,10 +38,7 @@
     from olivecourse.ops.succession import Succession
 
 MS = 1_000_000
-PER_STORE = 24  # connections to one store, as far as the descriptors allow
-OWN_SOCKETS = 24  # loop, log, listener, board, peers, planner, files that are read
 FILES_NS = 1_000 * MS  # between two looks at the operator's files
-DOOR_SOCKETS = 18  # of the operators' door, which clients cannot take
 BOARD_NS = 3_000 * MS  # a board that has said nothing for so long after a start holds up nobody any more
 LINGER_NS = 900 * MS  # after SIGTERM clients keep coming for 0.6 s; 0.7 s at least are asked for
 LONGEST_NS = 3_000 * MS  # what of the longest deadline counts before SIGKILL may come, plus 0.7 s
@@ -72,8 +70,9 @@
         self.conf_loaded, self.conf_invalid = 1, 0
         self.ledger = Ledger(s, LoopTimers(loop), self.batch.append, log, most=4096)
         self.purges: dict[str | int, int] = {}
-        limits = Limits(config.connect_ns, int(config.idle_ns * 0.8), config.streams, PER_STORE,
-                        max(config.sockets // 2 - 32, 16))
+        room = split(config.sockets, config.mgmt is not None)
+        limits = Limits(config.connect_ns, int(config.idle_ns * 0.8), config.streams, room.per_store,
+                        room.stores)
         self.pool = Pool(loop, self.directory, self.ledger, limits, [c.name for c in s.classes], log)
         self.ledger.carrier = self.pool
         self.desk: GatewayDesk | None = None
@@ -135,16 +134,14 @@
     def _room(self, sockets: int) -> tuple[int, int]:
         """Clients, and bytes of their unread answers, with so many of the descriptors for this process."""
         config = self.config
-        # Usual clients take a third of the descriptors at most. What stores and our own files leave besides
-        # is room for those who connect and say nothing, so that fewer have to be closed for a newcomer.
-        door = DOOR_SOCKETS if config.mgmt is not None else 0
-        most = max(sockets // 3, sockets - self.pool.limits.total - PER_STORE - OWN_SOCKETS - door)
-        return most, config.memory_mb * 2**20 // 8 * sockets // max(config.sockets, 1)
+        unread = config.memory_mb * 2**20 // 8 * sockets // max(config.sockets, 1)
+        return split(sockets, config.mgmt is not None).clients, unread
 
     def _share(self, shared: bool) -> None:
         """Another process of this gateway lives, or no longer: both together keep within one's limits."""
         sockets = self.config.sockets // 2 if shared else self.config.sockets
-        self.pool.limits = replace(self.pool.limits, total=max(sockets // 2 - 32, 16))
+        room = split(sockets, self.config.mgmt is not None)
+        self.pool.limits = replace(self.pool.limits, per_store=room.per_store, total=room.stores)
         self.front.limit(*self._room(sockets))
 
     def _front(self) -> Listener:
@@ -344,6 +341,9 @@
         last = min(longest, LONGEST_NS) + 700 * MS - STOP_MARGIN_NS
         self.log("stopping", open=self.ledger.open, **self.ledger.tally)
         handed = self.succession is not None and self.succession.retire()
+        if handed and self.peers is not None:  # the system would go on giving us a part of the datagrams
+            self.peers.close()
+            self.peers = None
         self.loop.after(0 if handed else LINGER_NS, self._may_end)
         self.loop.after(last, lambda: self.ledger.give_up_all("stopping"))
         self.loop.after(last + STOP_MARGIN_NS // 2, self._end)
--- a/olivecourse/net/seam.py
+++ b/olivecourse/net/seam.py
@@ -17,7 +17,7 @@
 from olivecourse import interface as w
 from olivecourse.core.planner import Planner
 from olivecourse.net.loop import READ, Loop
-from olivecourse.net.stream import Stream
+from olivecourse.net.stream import Stream, listen_unix
 
 MS = 1_000_000
 MOST = 8 * 2**20
@@ -192,13 +192,9 @@
         self.loop, self.path, self.settings, self.log = loop, path, settings, log
         self.made, self.gone = made, gone
         self.streams: set[_FromForwarder] = set()
-        self._sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         if os.path.exists(path) and stat.S_ISSOCK(os.stat(path).st_mode):
             os.unlink(path)  # left by a planner that was killed
-        self._sock.bind(path)
-        os.chmod(path, 0o600)
-        self._sock.listen(16)
-        self._sock.setblocking(False)
+        self._sock = listen_unix(path, 16)
         loop.watch(self._sock, READ, self._accept)
 
     def _accept(self, mask: int) -> None:
--- a/olivecourse/net/stream.py
+++ b/olivecourse/net/stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import os
 import socket
 
 from olivecourse.net.loop import READ, WRITE, Loop
@@ -36,6 +37,20 @@
     return sock
 
 
+def listen_unix(name: str, backlog: int) -> socket.socket:
+    """A listening Unix socket that only this user may connect to; raises OSError."""
+    sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
+    try:
+        sock.bind(name)
+        os.chmod(name, 0o600)
+        sock.listen(backlog)
+        sock.setblocking(False)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 class Stream:
     """Subclasses fill in `opened`, `received` and `closed`; `closed` comes exactly once."""
 
--- a/olivecourse/ops/calls.py
+++ b/olivecourse/ops/calls.py
@@ -25,12 +25,10 @@
         """Whether a list has ever named this id."""
         ...
 
-    def take_out(self, store: str) -> None:
-        """From the return on, nothing new goes to that store, nor names it as a source."""
+    def set_out(self, store: str, out: bool) -> None:
+        """While `out`, from the return on, nothing new goes to that store, nor names it as a source."""
         ...
 
-    def take_back(self, store: str) -> None: ...
-
 
 @dataclass(frozen=True)
 class Reply:
@@ -77,20 +75,20 @@
     return Reply(200, desk.figures(), TEXT)
 
 
-def _down(desk: Desk, body: bytes) -> Reply:
+def _ban(desk: Desk, body: bytes, out: bool) -> Reply:
     name = _store(body)
     if not desk.listed(name):
         raise BadCall(404, "no list has named this store")
-    desk.take_out(name)
-    return Reply(200, _say(ok=True, id=name, out=True))
+    desk.set_out(name, out)
+    return Reply(200, _say(ok=True, id=name, out=out))
+
+
+def _down(desk: Desk, body: bytes) -> Reply:
+    return _ban(desk, body, True)
 
 
 def _up(desk: Desk, body: bytes) -> Reply:
-    name = _store(body)
-    if not desk.listed(name):
-        raise BadCall(404, "no list has named this store")
-    desk.take_back(name)
-    return Reply(200, _say(ok=True, id=name, out=False))
+    return _ban(desk, body, False)
 
 
 CALLS: dict[str, tuple[str, Callable[[Desk, bytes], Reply]]] = {
--- a/olivecourse/ops/desk.py
+++ b/olivecourse/ops/desk.py
@@ -54,13 +54,7 @@
         return (store in self._directory.heard_of or store in self.bans.words  # said to the process before
                 or store in self._directory.names.values())
 
-    def take_out(self, store: str) -> None:
-        self._say(store, True)
-
-    def take_back(self, store: str) -> None:
-        self._say(store, False)
-
-    def _say(self, store: str, out: bool) -> None:
+    def set_out(self, store: str, out: bool) -> None:
         if self.bans.say(store, out):
             self._changed({store})
             self.spoken()
--- a/olivecourse/ops/door.py
+++ b/olivecourse/ops/door.py
@@ -14,7 +14,6 @@
 
 MS = 1_000_000
 MOST_CALLERS = 16  # connections at once; a newcomer closes the oldest
-SOCKETS = MOST_CALLERS + 2  # descriptors that clients cannot take: callers, the listener, one just accepted
 WHOLE_NS = 2_000 * MS  # to a whole call
 LEAVE_NS = 500 * MS  # for the caller to read its answer and close
 SWEEP_NS = 100 * MS
--- a/olivecourse/ops/handover.py
+++ b/olivecourse/ops/handover.py
@@ -14,6 +14,7 @@
 from typing import Protocol
 
 from olivecourse.net.loop import READ, WRITE, Loop
+from olivecourse.net.stream import listen_unix
 from olivecourse.ops.handwire import MOST, VERSION, BadMessage, Decoder, Kind, Message
 
 MOST_LINKS = 4
@@ -42,7 +43,6 @@
         self.loop, self.sock, self.log = loop, sock, log
         self._side = side
         self.open = True
-        self.ready = False  # the other side is a newcomer that serves
         self._decoder = Decoder()
         self._came: deque[int] = deque()  # descriptors whose messages are still to come
         self._queue: deque[tuple[memoryview, int]] = deque()  # bytes, and a descriptor of ours or -1
@@ -52,12 +52,14 @@
         loop.watch(sock, READ, self._ready)
 
     def send(self, message: Message, fd: int = -1) -> None:
-        """Queues a message; a descriptor is duplicated, the caller keeps its own."""
+        """Queues a message, and a descriptor that is the link's from here on: closed once it has left."""
         if not self.open:
+            if fd >= 0:
+                os.close(fd)
             return
         data = message.encode()
         self._queued += len(data)
-        self._queue.append((memoryview(data), os.dup(fd) if fd >= 0 else -1))
+        self._queue.append((memoryview(data), fd))
         if self._queued > MOST_QUEUED:
             self.close("the other side does not read")
         else:
@@ -112,7 +114,8 @@
                 return
             try:
                 for message in self._decoder.feed(data):
-                    self._hear(message)
+                    if self.open:  # what was heard may have ended it
+                        self._hear(message)
             except BadMessage as bad:
                 self.close(str(bad))
             if not self.open:
@@ -123,9 +126,7 @@
         if message.with_socket:
             if not self._came:
                 raise BadMessage(f"{message.kind.name} without its descriptor")
-            sock = socket.socket(fileno=self._came.popleft())
-        if message.kind is Kind.READY:
-            self.ready = True
+            sock = _socket(self._came.popleft())
         if message.kind is not Kind.UNKNOWN:
             self._side.heard(self, message, sock)
         elif sock is not None:
@@ -145,6 +146,15 @@
         self._side.parted(self)
 
 
+def _socket(fd: int) -> socket.socket:
+    """The socket behind a descriptor that came; raises BadMessage for any other file, which is closed."""
+    try:
+        return socket.socket(fileno=fd)
+    except OSError:
+        os.close(fd)
+        raise BadMessage("a descriptor that is no socket") from None
+
+
 def _within(path: Path) -> tuple[int, str]:
     """A name for a Unix socket, whose path may be longer than the 107 bytes that an address has."""
     folder = os.open(path.parent, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
@@ -156,19 +166,12 @@
 
     def __init__(self, loop: Loop, path: Path, side: Side, log: Callable[..., None]) -> None:
         self._loop, self._side, self._log = loop, side, log
-        self.links: list[Link] = []
-        self._sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
+        self._links: list[Link] = []
         folder, name = _within(path)
         try:
-            self._sock.bind(name)
-            os.chmod(name, 0o600)
-            self._sock.listen(MOST_LINKS)
-        except OSError:
-            self._sock.close()
-            raise
+            self._sock = listen_unix(name, MOST_LINKS)
         finally:
             os.close(folder)
-        self._sock.setblocking(False)
         loop.watch(self._sock, READ, self._accept)
 
     def _accept(self, mask: int) -> None:
@@ -176,20 +179,18 @@
             sock, _ = self._sock.accept()
         except OSError:
             return
-        self.links = [link for link in self.links if link.open]
         if len(self.links) >= MOST_LINKS:
             sock.close()
             return
         link = Link(self._loop, sock, self._side, self._log)
-        self.links.append(link)
+        self._links.append(link)
         link.read()
 
-    def successor(self) -> Link | None:
-        """The link to the youngest newcomer that serves."""
-        for link in self.links:
-            if link.open:
-                link.read()  # its word may have come in this turn
-        return next((link for link in reversed(self.links) if link.open and link.ready), None)
+    @property
+    def links(self) -> list[Link]:
+        """To those who asked and live, the oldest first."""
+        self._links = [link for link in self._links if link.open]
+        return self._links
 
     def close(self) -> None:
         self._loop.forget(self._sock)
@@ -219,7 +220,7 @@
                 raise OSError(0, "it ended" if data == b"" else "descriptors were lost")
             for message in decoder.feed(data):
                 if message.kind is Kind.LISTENER and came:
-                    listener = socket.socket(fileno=came.popleft())
+                    listener = _socket(came.popleft())
                 elif message.kind is Kind.LEARNED:
                     return sock, listener, message.raw
     except BaseException:
--- a/olivecourse/ops/presence.py
+++ b/olivecourse/ops/presence.py
@@ -15,7 +15,6 @@
 import time
 from collections.abc import Callable, Iterable
 from pathlib import Path
-from typing import Any
 
 from olivecourse.ops.bans import Word
 
@@ -120,9 +119,9 @@
         finally:
             os.close(fd)
 
-    def write(self, words: dict[str, Word], **more: Any) -> bool:
+    def write(self, words: Words) -> bool:
         """Replaces our record, whole or not at all; whether it is there."""
-        data = json.dumps({"v": 1, **more, "bans": [[s, w.stamp, w.out] for s, w in words.items()]}).encode()
+        data = json.dumps({"v": 1, "bans": [[s, w.stamp, w.out] for s, w in words]}).encode()
         early = self.path("json.new")
         try:
             fd = os.open(early, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
--- a/olivecourse/ops/succession.py
+++ b/olivecourse/ops/succession.py
@@ -1,6 +1,6 @@
 """One gateway's processes in an upgrade: who lives, what they have said of stores, whose clients go where.
 
-Ties `presence`, `handover` and a front together; each turn of an upgrade is in `docs/design/daily.md`, D.
+Ties `standing`, `presence`, `handover` and a front together; the whole is told in `docs/design/daily.md`, D.
 """
 
 from __future__ import annotations
@@ -20,6 +20,7 @@
 from olivecourse.ops.handwire import BadMessage, Kind, Message
 from olivecourse.ops.learned import adopt, pack
 from olivecourse.ops.presence import NoFolder, Presence, Words
+from olivecourse.ops.standing import Passages, Standing
 
 MS = 1_000_000
 LOOK_NS = 100 * MS  # between two looks at the others' records: a ban said there binds here well within 1 s
@@ -63,14 +64,11 @@
         self._watcher = Watcher()
         self._learned = b""
         self._landing: Landing | None = None
-        self._before: Link | None = None  # to the process that ran when this one started
-        self._told_ready = False
+        self._standing = Standing[Link]()
+        self._passages = Passages[Link, ThriftClient]()
         self._looks = 0
-        self._conns = 0
-        self._handed: dict[Link, dict[int, ThriftClient]] = {}  # clients that went over a link
-        self._taken: dict[Link, dict[int, ThriftClient]] = {}  # clients that came over a link
-        self._stopped = self._unwritten = False
-        living = self._look(first=True)
+        self._stopped = False
+        living = self._look()
         self.listener: socket.socket | None = None
         if living:
             self._ask(living[-1])
@@ -83,7 +81,7 @@
         except (OSError, BadMessage) as error:
             self._log("handover_unanswered", why=str(error))
             return
-        self._before = Link(self._loop, sock, self, self._log)
+        self._standing.inherits(Link(self._loop, sock, self, self._log))
 
     def teach(self, router: Router) -> None:
         """Before the Router's first event: what the process before has learned."""
@@ -105,34 +103,40 @@
             self._landing = Landing(self._loop, self._presence.path("sock"), self, self._log)
         except OSError as error:
             self._log("presence_unusable", why=str(error))
-        if self._before is not None:
+        if self._standing.shared:
             self._shared(True)
         self._loop.after(LOOK_NS, self._tick)
 
     def serves(self) -> None:
         """This process has said that it is ready: the one before may hand its clients over."""
-        if self._before is not None and not self._told_ready:
-            self._told_ready = True
-            self._before.send(Message(Kind.READY))
+        elder = self._standing.yes_said()
+        if elder is not None:
+            elder.send(Message(Kind.READY))
 
     # Bans --------------------------------------------------------------------------------------------
 
     def say(self) -> None:
         """A ban was set or lifted here: written down, and the others are told to look."""
-        self._unwritten = not self._presence.write(dict(self._desk.said()))
-        for link in [self._before, *(self._landing.links if self._landing is not None else ())]:
-            if link is not None:
-                link.send(Message(Kind.LOOK))
+        self._standing.learned()
+        self._record()
+        for link in self._links():
+            link.send(Message(Kind.LOOK))
 
-    def _look(self, first: bool = False) -> list[str]:
+    def _links(self) -> list[Link]:
+        elder = self._standing.elder
+        return [*(() if elder is None else (elder,)), *(() if self._landing is None else self._landing.links)]
+
+    def _record(self) -> None:
+        if self._standing.must_write:
+            self._standing.wrote(self._presence.write(self._desk.said()))
+
+    def _look(self) -> list[str]:
         living, words, dead = self._presence.look()
         if words:
             self._desk.hear(words)
-        if words or first:
-            self._unwritten = True
-        if self._unwritten:
-            self._unwritten = not self._presence.write(dict(self._desk.said()))
-        if not self._unwritten:  # only then: what the dead said would be lost with their files
+            self._standing.learned()
+        self._record()
+        if self._standing.may_clear:
             self._presence.clear(dead)
         return living
 
@@ -149,41 +153,43 @@
 
     def retire(self) -> bool:
         """SIGTERM: hands every client to the newcomer that serves; False if there is none."""
-        heir = self._landing.successor() if self._landing is not None else None
-        front = self._front
+        for link in () if self._landing is None else self._landing.links:
+            link.read()  # its yes may have come in this very turn
+        heir, front = self._standing.heir(), self._front
         if heir is None or not isinstance(front, ThriftFront):
             return False
         front.no_more()
         for client in list(front.clients):
-            if not isinstance(client, ThriftClient):
+            if not isinstance(client, ThriftClient) or not heir.open:  # those that are left stay here
                 continue
-            self._conns += 1
-            fd, handed = client.sock.fileno(), client.hand_over(Way(heir, self._conns))
-            head = {"conn": self._conns, "last": handed.last, "taken": handed.taken, "open": handed.open,
+            conn = self._passages.number()
+            handed = client.hand_over(Way(heir, conn))
+            head = {"conn": conn, "last": handed.last, "taken": handed.taken, "open": handed.open,
                     "in": len(handed.read)}
-            heir.send(Message(Kind.CLIENT, head, handed.read + handed.unsent, with_socket=True), fd)
-            client.sock.close()
-            self._handed.setdefault(heir, {})[self._conns] = client
-        self._log("handed_over", clients=len(self._handed.get(heir, ())))
+            self._passages.went(heir, conn, client)
+            heir.send(Message(Kind.CLIENT, head, handed.read + handed.unsent, with_socket=True),
+                      client.sock.detach())
+        self._log("handed_over", clients=self._passages.count(heir))
         return True
 
     def flushed(self) -> bool:
         """Whether every answer for clients that went over a link has left, also what is only relayed."""
-        return all(link.flushed and not any(c.load() for c in clients.values())
-                   for link, clients in self._handed.items())
+        return not self._passages.owed() and all(link.flushed for link in self._links())
 
     def heard(self, link: Link, message: Message, sock: socket.socket | None) -> None:
         """A message of the other process; its form has been checked."""
         if message.kind is Kind.HELLO:
             self._greet(link)
+        elif message.kind is Kind.READY:
+            self._standing.serves(link)
         elif message.kind is Kind.CLIENT and sock is not None:
             self._adopt(link, message, sock)
         elif message.kind is Kind.ANSWER:
-            client = self._taken.get(link, {}).get(message.number("conn"))
+            client = self._passages.taken(link, message.number("conn"))
             if client is not None:
                 client.from_elder(message.number("number"), message.raw)
         elif message.kind in (Kind.FORGET, Kind.GONE):
-            client = self._handed.get(link, {}).get(message.number("conn"))
+            client = self._passages.gone(link, message.number("conn"))
             if client is not None:
                 client.from_heir(message.number("number") if message.kind is Kind.FORGET else None)
         elif message.kind is Kind.LOOK:
@@ -194,11 +200,15 @@
     def _greet(self, link: Link) -> None:
         front = self._front
         if front is not None and isinstance(front, ThriftFront) and front.fileno() >= 0:
-            link.send(Message(Kind.LISTENER, with_socket=True), front.fileno())
+            try:
+                link.send(Message(Kind.LISTENER, with_socket=True), os.dup(front.fileno()))
+            except OSError as error:  # no descriptor left: the newcomer listens for itself
+                self._log("handover_unusable", why=str(error))
         learned = b"" if self._router is None else pack(self._router, self._watcher, self._name,
                                                        self._loop.clock.now(), time.time_ns())
         link.send(Message(Kind.LEARNED, raw=learned))
         self._log("upgrade_begins", learned_bytes=len(learned))
+        self._standing.asked(link)
         self._shared(True)
 
     def _adopt(self, link: Link, message: Message, sock: socket.socket) -> None:
@@ -210,29 +220,25 @@
         handed = Handed(message.number("last"), message.number("taken"), message.head["open"], raw[:read],
                         raw[read:])
         sock.setblocking(False)
-        self._taken.setdefault(link, {})[conn] = front.adopt(sock, handed, Way(link, conn))
+        self._passages.came(link, conn, front.adopt(sock, handed, Way(link, conn)))
 
     def parted(self, link: Link) -> None:
         """The other process has ended: it owes nothing any more, and its share of the limits is free."""
-        for client in self._handed.pop(link, {}).values():
+        went, came = self._passages.parted(link)
+        for client in went:
             client.from_heir(None)
-        for client in self._taken.pop(link, {}).values():
+        for client in came:
             client.elder_lost()
-        if link is self._before:
-            self._before = None
-        if self._landing is not None:
-            self._landing.links = [x for x in self._landing.links if x.open]
-        if not self._stopped and self._before is None and not (self._landing and self._landing.links):
-            self._shared(False)
+        self._standing.parted(link)
+        if not self._stopped:
+            self._shared(self._standing.shared)
 
     def close(self) -> None:
         self._stopped = True
+        for link in self._links():
+            link.close("this process ends")
         if self._landing is not None:
-            for link in list(self._landing.links):
-                link.close("this process ends")
             self._landing.close()
-        if self._before is not None:
-            self._before.close("this process ends")
         self._presence.leave()
 
 
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -4,13 +4,17 @@
 import re
 import socket
 import time
+from types import SimpleNamespace
 
 import pytest
+from conftest import make_class, make_settings
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from stage import OBJECT, REQUEST, Stage, drain, member
 
 from olivecourse import interface as w
+from olivecourse.core.descriptors import DOOR, split
+from olivecourse.core.ledger import Crowded, Duplicate, Ledger
 from olivecourse.fronts import codec
 from olivecourse.gateway import Gateway
 from olivecourse.ops.bans import Bans, Word
@@ -159,12 +163,35 @@
     stage.gateway.told([{"pool": {"revision": 3, "complete": True, "members": [
         member("s-00000001", address), member("s-00000008", stage.parent.address, "parent", "hub-nord"),
         member("s-00000009", stage.origin.address, "origin", "hub-nord")]}}])
+    assert down(stage, "s-00000009") == down(stage, "s-00000008") == 200
+    client.call(2, i="66" * 8, c="commande")
+    last = stage.until(lambda: len(client.answers()) == 2 and client.answers()[1])
+    assert last[1:3] == ("refused", {"w": "1000"}), "with all out: told honestly, and when to return"
+    assert down(stage, "s-00000009", "up") == down(stage, "s-00000008", "up") == 200
     assert not stage.cache.poll() and down(stage, "s-00000001", "up") == 200
     client = stage.client()
     client.call(1, i="77" * 8)
     assert f"fetch {'77' * 8}" in stage.until(stage.cache.line)
 
 
+def test_a_store_restarted_while_it_was_out_comes_back_as_cold_as_it_is(stage):
+    assert down(stage, "s-00000001") == 200
+    told = int(time.time() * 1000)
+    stage.gateway.told([{"pool": {"revision": 4, "complete": False, "members": [
+        member("s-00000001", stage.cache.address, up_since_ms=told)]}}])
+    assert down(stage, "s-00000001", "up") == 200
+    stage.turn()
+    node, began, number = stage.gateway.local.router.nodes[1], time.monotonic(), 0
+    assert abs(node.member.ready_at_ns - told * 1_000_000) < 50_000_000
+    node.credit = 0.0
+    while not stage.cache.poll() and time.monotonic() - began < 5.0:
+        number += 1
+        client = stage.client()
+        client.call(1, i=f"{number:016x}")
+        stage.until(lambda c=client: stage.cache.poll() or c.answers())
+    assert stage.cache.data and number > 1, "within 5 s, and not before it can bear it"
+
+
 def test_a_parent_out_by_hand_is_no_source_for_what_waits_or_comes(stage):
     client = stage.client()
     client.call(1)
@@ -277,3 +304,89 @@
         assert stage.until(client.answers) == [(1, "success", {}, b"\r\n\r\n\0")]
     finally:
         stage.close()
+
+
+def test_a_crowd_of_clients_leaves_the_door_its_descriptors():
+    stage = Stage(mgmt="127.0.0.1:0", limits={"sockets": 128, "memory_mb": 40})
+    try:
+        crowd = [stage.client() for _ in range(150)]
+        stage.until(lambda: len(stage.gateway.front.clients) > 30)
+        for _ in range(20):
+            stage.turn()
+        most = stage.gateway.front._most
+        assert len(stage.gateway.front.clients) <= most < len(crowd)
+        assert call(stage, "GET /ops/readiness")[0] == 200
+    finally:
+        stage.close()
+
+
+def test_all_that_can_be_open_at_once_is_within_the_descriptors_and_the_door_has_its_own():
+    for sockets in range(96, 4097):
+        assert split(sockets, True).total(True) <= sockets
+    assert DOOR >= MOST_CALLERS + 2
+    for sockets, before in ((256, (96, 24, 112)), (384, (160, 24, 176)), (1024, (480, 24, 496))):
+        room = split(sockets, False)
+        assert (room.stores, room.per_store, room.clients) == before, "without a door as it was"
+
+
+class Still:
+    """Timers that never fire, and the clock that goes with them."""
+
+    def now(self):
+        return 5
+
+    def after(self, delay, then):
+        return self
+
+    def cancel(self):
+        pass
+
+
+class Answers(list):
+    """A reply that notes which kind of answer it was given."""
+
+    def served(self, *words):
+        self.append(0)
+
+    def refused(self, wait):
+        self.append(1)
+
+    def failed(self, late):
+        self.append(2)
+
+
+@settings(max_examples=300, deadline=None)
+@given(st.lists(st.tuples(st.sampled_from(["take", "leave", "refuse", "fail", "send", "end", "away", "all"]),
+                          st.integers(0, 4), st.sampled_from(list(w.Status)))))
+def test_what_was_taken_has_ended_once_or_left_or_is_open_after_any_sequence(steps):
+    classes = tuple(make_class(effect, name=name) for name, effect in (
+        ("read", w.Effect.IDEMPOTENT), ("order", w.Effect.AT_MOST_ONCE)))
+    answers, attempts = Answers(), []
+    quiet = SimpleNamespace(emit=lambda event: None, log=lambda event, **v: None)
+    ledger = Ledger(make_settings(classes=classes), Still(), quiet.emit, quiet.log, most=4)
+    ledger.carrier = SimpleNamespace(send=attempts.append, abort=lambda attempt: None)
+    for word, n, status in steps:
+        request = f"{n:016x}"
+        try:
+            if word == "take":
+                ledger.take(w.Request(request, n % 2, object="a"), b"", None, answers)
+            elif word == "send":
+                ledger.attempt(w.Look(request, 1, 50))
+            elif word == "end" and attempts:
+                ledger.end(attempts.pop(), status)
+            elif word == "refuse":
+                ledger.refuse(w.Refuse(request, 1))
+            elif word == "fail":
+                ledger.fail(w.Fail(request))
+            elif word == "leave":
+                ledger.leave(request)
+            elif word == "all":
+                ledger.give_up_all("a test")
+            elif word == "away":
+                raise Crowded
+        except (Crowded, Duplicate):
+            ledger.turned_away(n % 2)
+            answers.refused(0)
+        ended = [sum(counts[i] for counts in ledger.outcomes) for i in range(3)]
+        assert ended == [answers.count(i) for i in range(3)], "each answer counts once, as what it was"
+        assert ledger.taken == sum(ended) + ledger.left + ledger.open
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -15,19 +15,21 @@
 from stage import OBJECT, REQUEST, Stage
 from test_ops import call, down, figures
 
+from olivecourse.core.descriptors import split
 from olivecourse.gateway import Gateway
 from olivecourse.net.loop import Loop
 from olivecourse.ops.handover import Link
 from olivecourse.ops.handwire import BadMessage, Decoder, Kind, Message
 from olivecourse.ops.presence import NoFolder, Presence
+from olivecourse.ops.standing import Passages, Standing
 
 
 class Upgrade:
     """A stage whose gateway is followed by others; all turn together."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, **more):
         self.folder = str(folder)
-        self.stage = Stage(mgmt="127.0.0.1:0", env={"TMPDIR": self.folder})
+        self.stage = Stage(mgmt="127.0.0.1:0", env={"TMPDIR": self.folder}, **more)
         self.all = [self.stage.gateway]
         self.killed = set()
 
@@ -65,10 +67,9 @@
         """Outright: the system closes all that the process held."""
         self.killed.add(gateway)
         s = gateway.succession
-        for link in [s._before, *s._landing.links]:
-            if link is not None:
-                link.sock.shutdown(socket.SHUT_RDWR)
-                link.sock.close()
+        for link in s._links():
+            link.sock.shutdown(socket.SHUT_RDWR)
+            link.sock.close()
         os.close(s._presence._lock)
         gateway.front.no_more()
         gateway.door.close()
@@ -177,7 +178,7 @@
     assert upgrade.until(client.answers) == [(1, "failed", {}, b"")], "never refused: it may have run"
     client.call(2, i="66" * 8)
     upgrade.until(lambda: b"66" * 8 in upgrade.cache.poll())
-    assert new.pool.limits.total == new.config.sockets // 2 - 32, "all of the limits again"
+    assert new.pool.limits.total == split(new.config.sockets, True).stores, "all of the limits again"
 
 
 def test_a_newcomer_that_dies_before_its_yes_changes_nothing(upgrade):
@@ -269,7 +270,7 @@
     sender, (left, right) = Link(loop, theirs, Ear(), lambda event, **v: None), socket.socketpair()
     unknown = Message(Kind.UNKNOWN, with_socket=True)
     for message in (unknown, Message(Kind.LISTENER, with_socket=True)):
-        sender.send(message, left.fileno())
+        sender.send(message, os.dup(left.fileno()))
     sender.send(Message(Kind.LOOK))
     while len(ear.heard_of) < 2:
         loop.turn(1_000_000)
@@ -319,3 +320,100 @@
     presence.path("json", token).symlink_to("/dev/zero")
     presence.path("lock", token).touch()
     assert presence.look() == ([], [], [token]) and logged == ["record_unusable"] * 5
+
+
+def test_datagrams_come_to_the_newcomer_once_clients_have_changed_hands(tmp_path):
+    peer, free = (socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(2))
+    for sock in (peer, free):
+        sock.bind(("127.0.0.1", 0))
+    there, here = (f"127.0.0.1:{sock.getsockname()[1]}" for sock in (peer, free))
+    free.close()
+    up = Upgrade(tmp_path, peer_listen=here, peers=[there, here])
+    try:
+        old = up.stage.gateway
+        client = up.client()
+        client.call(1)  # the old one has to stay for it
+        up.until(lambda: up.cache.poll().count(b"fetch ") == 1)
+        new, came = up.follow(), []
+        old.stop()
+        new.peers._emit = came.append
+        for n in range(20):
+            peer.sendto(b"%d" % n, ("127.0.0.1", int(here.rpartition(":")[2])))
+        up.until(lambda: len(came) == 20)
+        assert old.loop.running
+    finally:
+        peer.close()
+        up.close()
+
+
+def test_a_descriptor_that_is_no_socket_or_a_client_that_does_not_fit_ends_in_a_close(upgrade, tmp_path):
+    ours, theirs = socket.socketpair(socket.AF_UNIX)
+    loop, ear = Loop(), Ear()
+    Link(loop, ours, ear, lambda event, **v: None)
+    (tmp_path / "file").touch()
+    with open(tmp_path / "file") as file:
+        socket.send_fds(theirs, [Message(Kind.LISTENER, with_socket=True).encode()], [file.fileno()])
+    loop.turn(1_000_000)
+    assert ear.ended and not ear.heard_of
+    theirs.close()
+    loop.close()
+    new, (left, right) = upgrade.follow(), socket.socketpair()
+    head = {"conn": 1, "last": 1, "taken": 1, "open": [1], "in": 200_000}
+    new.succession.heard(new.succession._links()[0],
+                         Message(Kind.CLIENT, head, b"\0" * 200_000, with_socket=True), left)
+    assert right.recv(9) == b"" and not new.front.clients
+    right.close()
+
+
+class Seat:
+    """A client that is owed so much."""
+
+    def __init__(self, owed):
+        self.owed = owed
+
+    def load(self):
+        return self.owed
+
+
+@settings(max_examples=300, deadline=None)
+@given(st.lists(st.tuples(st.sampled_from(["inherits", "asked", "serves", "parted"]), st.integers(0, 3))),
+       st.lists(st.tuples(st.integers(0, 2), st.integers(0, 2))))
+def test_limits_are_shared_while_another_lives_and_the_youngest_that_serves_is_the_heir(said, clients):
+    standing, heirs, serving, elder = Standing(), [], set(), None
+    for word, link in said:
+        if word == "inherits" and (elder is not None or link in heirs) or word == "asked" and link == elder:
+            continue  # which does not come about: a process starts once, and asks whom it follows
+        getattr(standing, word)(link)
+        if word == "inherits":
+            elder = link
+        elif word == "asked" and link not in heirs:
+            heirs.append(link)
+        elif word == "serves" and link in heirs:
+            serving.add(link)
+        elif word == "parted":
+            elder, heirs = None if link == elder else elder, [x for x in heirs if x != link]
+            serving.discard(link)
+        assert standing.shared == (elder is not None or bool(heirs))
+        assert standing.heir() == next((x for x in reversed(heirs) if x in serving), None)
+    passages = Passages()
+    for link, owed in clients:
+        passages.went(link, passages.number(), Seat(owed))
+    assert passages.owed() == any(owed for _, owed in clients)
+    for link in range(3):
+        went, came = passages.parted(link)
+        assert len(list(went)) == sum(x == link for x, _ in clients) and not list(came)
+    assert not passages.owed()
+
+
+def test_the_elder_is_told_once_and_what_the_dead_said_stays_till_it_is_written():
+    standing = Standing()
+    standing.wrote(False)
+    assert standing.must_write and not standing.may_clear
+    standing.wrote(True)
+    assert standing.may_clear
+    standing.learned()
+    assert not standing.may_clear
+    standing.inherits("old")
+    assert standing.yes_said() == "old" and standing.yes_said() is None
+    standing.serves("stranger")
+    assert standing.heir() is None, "who never asked gets no clients"
