Log a turn that stands still, with the processor time it took

Need: twice a new process stood still for 1.6 and 2.4 s as the old one ended, and nothing told whether it worked or was not let run. Change: loop_stalled with ms and cpu_ms for turns over 0.6 s.

--- a/olivecourse/gateway.py
+++ b/olivecourse/gateway.py
@@ -62,6 +62,7 @@
     def __init__(self, config: Config, log: Callable[..., None]) -> None:
         self.config, self.log = config, log
         self.loop = loop = Loop()
+        loop.stalled = self._stalled
         self.batch: list[w.Event] = []
         self.stopping = False
         s = config.settings
@@ -131,6 +132,10 @@
         if config.inventory is not None:
             loop.after(FILES_NS, self._look_at_files)
 
+    def _stalled(self, wall_ns: int, cpu_ns: int) -> None:
+        """Much CPU: our own work took so long. Little: the process was not let run."""
+        self.log("loop_stalled", ms=wall_ns // MS, cpu_ms=cpu_ns // MS)
+
     def _room(self, sockets: int) -> tuple[int, int]:
         """Clients, and bytes of their unread answers, with so many of the descriptors for this process."""
         config = self.config
--- a/olivecourse/net/loop.py
+++ b/olivecourse/net/loop.py
@@ -10,6 +10,7 @@
 from olivecourse.net.wheel import Timer, Wheel
 
 READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
+STALL_NS = 600_000_000  # no turn waits half as long by itself
 Ready = Callable[[int], None]
 
 
@@ -33,6 +34,7 @@
         self.wheel = Wheel(self.clock.now())
         self.running = True
         self.lag_ns = 0  # how long what arrives may have waited for the turn before to end
+        self.stalled: Callable[[int, int], object] = lambda wall, cpu: None  # told of turns over STALL_NS
         self.longest_ns = 0  # the longest turn since the start, with what was decided in it
         self._woke = self.clock.now()
         self._selector = selectors.DefaultSelector()
@@ -64,9 +66,13 @@
 
     def run(self, decide: Callable[[], None]) -> None:
         while self.running:
+            began, cpu = self.clock.now(), time.process_time_ns()
             self.turn()
             decide()
-            self.lag_ns = self.clock.now() - self._woke
+            now = self.clock.now()
+            if now - began > STALL_NS:
+                self.stalled(now - began, time.process_time_ns() - cpu)
+            self.lag_ns = now - self._woke
             self.longest_ns = max(self.longest_ns, self.lag_ns)
 
     def close(self) -> None:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -275,3 +275,16 @@
     assert "app_cluster_unhealthy 1.0" in stats, "the ban holds in the new one"
     assert run("ops", "up", "s-00000008", "--address", next_door).returncode == 0
     assert new.end() == 0
+
+
+def test_a_process_that_was_not_let_run_says_so_and_how_little_it_used(world):
+    folder, _, start = world
+    program = start(EDGE_CONFIG=str(folder / "config.json"))
+    program.event("ready")
+    time.sleep(0.3)
+    program.process.send_signal(signal.SIGSTOP)
+    time.sleep(1.0)
+    program.process.send_signal(signal.SIGCONT)
+    said = program.event("loop_stalled")
+    assert said["ms"] >= 900 and said["cpu_ms"] < said["ms"] / 2
+    assert program.end() == 0
