Serve requests without a size, open the door by either name, and drain a gateway

Cause, by a log of what the program is told and asked there: clients send no m, which fronts/thrift.py demanded; the second address is told as admin and EDGE_ADMIN, which config.py did not know, so a second process found the client address taken; the calls there are GET /ready, GET /metrics, POST /drain, /undrain, /servers/out/ID and /servers/in/ID. Ruled out: sizes missing only on some requests (none has one); other methods or bodies (text/plain, empty); a JSON form wanted of /metrics (no Accept header comes).

A refused call is logged with its words.

--- a/olivecourse/config.py
+++ b/olivecourse/config.py
@@ -14,6 +14,7 @@
 from olivecourse.inventory import BadInventory, read_inventory
 from olivecourse.net.stream import Address, parse_address
 from olivecourse.settings import Malformed, nested_pairs, read_settings
+from olivecourse.told.vocabulary import DOORS
 
 if TYPE_CHECKING:
     from olivecourse.memory.section import MemoryConfig
@@ -48,7 +49,7 @@
     sockets: int = 1024
     memory_mb: int = 192
     board: Address | None = None
-    mgmt: Address | None = None  # the operators' door
+    doors: tuple[Address, ...] = ()  # for operators only
     tmpdir: str | None = None  # what two processes of one gateway share; used with a door only
     peer_listen: Address | None = None
     peers: list[Address] = field(default_factory=list)
@@ -70,6 +71,12 @@
         raise BadConfig(f"{name}: {error}") from None
 
 
+def _doors(raw: Mapping[str, Any], env: Mapping[str, str]) -> tuple[Address, ...]:
+    """Every address that is told for operators, by whatever name, each once."""
+    found = [_address({name: env.get(variable) or raw.get(name)}, name) for name, variable in DOORS]
+    return tuple(dict.fromkeys(address for address in found if address is not None))
+
+
 def read_config(raw: Any, env: Mapping[str, str]) -> Config:
     if not isinstance(raw, dict):
         raise BadConfig("the configuration is not a JSON object")
@@ -94,7 +101,7 @@
             rev=int(known.get("rev", 0)), notices=list(known.get("notices", ())),
             sockets=int(limits.get("sockets", 1024)), memory_mb=int(limits.get("memory_mb", 192)),
             board=_address(raw, "board"),
-            mgmt=_address({"mgmt": env.get("EDGE_MGMT") or raw.get("mgmt")}, "mgmt"),
+            doors=_doors(raw, env),
             tmpdir=env.get("TMPDIR"),
             peer_listen=_address(raw, "peer_listen"),
             peers=[parse_address(p) for p in raw.get("peers", ())], peers_all=_address(raw, "peers_all"))
--- a/olivecourse/core/descriptors.py
+++ b/olivecourse/core/descriptors.py
@@ -6,7 +6,7 @@
 
 PER_STORE = 24  # connections to one store, as far as the descriptors allow
 OWN = 24  # loop, log, listener, board, peers, planner, files that are read
-DOOR = 18  # callers of the operators' door, its listener, and one just accepted
+DOOR = 18  # callers of one operators' door, its listener, and one just accepted
 SPARED = 32  # of the half that stores may have
 LEAST = 16  # connections to stores, however few descriptors there are
 SCANT, SCANT_STORES = 192, 8  # below so many a process with a door keeps to so few, as it may be one of two
@@ -20,19 +20,20 @@
     per_store: int
     clients: int
 
-    def total(self, door: bool) -> int:
+    def total(self, doors: int) -> int:
         """All that can be open at once."""
-        return self.stores + self.per_store + self.clients + OWN + (DOOR if door else 0)
+        return self.stores + self.per_store + self.clients + OWN + DOOR * doors
 
 
-def split(sockets: int, door: bool) -> Split:
+def split(sockets: int, doors: int) -> Split:
     """Of so many descriptors. Usual clients take a third at most; what stores and our own files leave besides
     is room for those who connect and say nothing, so that fewer have to be closed for a newcomer.
 
-    With a door, clients and stores together cannot take what operators need, from 96 descriptors on.
+    With a door, clients and stores together cannot take what operators need, from 96 descriptors on (with
+    each further door, 18 more).
     """
-    own = OWN + (DOOR if door else 0)
-    scant = door and sockets < SCANT
+    own = OWN + DOOR * doors
+    scant = doors > 0 and sockets < SCANT
     per_store = SCANT_STORES if scant else PER_STORE
-    stores = max(sockets // 2 - SPARED - (DOOR if door else 0), SCANT_STORES if scant else LEAST)
+    stores = max(sockets // 2 - SPARED - DOOR * doors, SCANT_STORES if scant else LEAST)
     return Split(stores, per_store, max(sockets // 3, sockets - stores - per_store - own))
--- a/olivecourse/fronts/listener.py
+++ b/olivecourse/fronts/listener.py
@@ -117,6 +117,7 @@
         self._sock.setblocking(False)
         self.port: int = self._sock.getsockname()[1]
         self._closed = False
+        self.draining = False  # clients are to go elsewhere: each is closed once nothing is open on it
         self.names = False  # whether requests are to tell who asks
         loop.watch(self._sock, READ, self._accept)
         loop.after(SWEEP_NS, self._sweep)
@@ -161,10 +162,26 @@
             self.loop.forget(self._sock)
             self._sock.close()
 
+    def drain(self, draining: bool) -> None:
+        """While it drains, clients' connections are closed as soon as nothing is open on them. Newcomers are
+        served as ever: who still comes has not been told yet."""
+        self.draining = draining
+        if draining:
+            for client in [c for c in self.clients if not c.load()]:
+                self._let_go(client)
+
+    def _let_go(self, client: Client) -> None:
+        if self.draining and client.open:
+            client.read()  # its request may have come already
+            if client.open and not client.load() and not len(client.outbox) and not client.begun:
+                client.close("draining")
+
     def place(self, client: Client) -> None:
         """Files a client by what is open on it."""
         self._lift(client)
         if client.open and not client.load():
+            if self.draining:
+                self.loop.after(0, lambda: self._let_go(client))
             if client.answered:
                 (self._once if client.taken < 2 else self._idle)[client] = self.loop.clock.now()
                 client.inbox.shrink()
--- a/olivecourse/fronts/thrift.py
+++ b/olivecourse/fronts/thrift.py
@@ -59,12 +59,14 @@
     number, write = classes[cls]
     try:
         budget = int(fields["d"])
-        part, group, size = int(fields["n"]), int(fields["shard"]), float(fields["m"])
+        part, group = int(fields["n"]), int(fields["shard"])
+        size = float(fields["m"]) if "m" in fields else None  # told on some deployments, for some requests
     except (KeyError, ValueError):
-        raise BadRequest("d, n, shard and m are needed, as numbers") from None
+        raise BadRequest("d, n and shard are needed, and m where it is given, as numbers") from None
     if fields.get("r", "1") != "1":
         raise BadRequest("r is 1 or absent")
-    if not (0 < budget < 3_600_000 and 0 <= part < 2**31 and 0 <= group < 256 and 0 <= size < 1e9):
+    if not (0 < budget < 3_600_000 and 0 <= part < 2**31 and 0 <= group < 256
+            and (size is None or 0 <= size < 1e9)):
         raise BadRequest("d, n, shard or m out of range")
     data = body or b""
     if not isinstance(data, bytes) or len(data) > MOST_WRITE:
--- a/olivecourse/gateway.py
+++ b/olivecourse/gateway.py
@@ -65,20 +65,21 @@
         loop.stalled = self._stalled
         self.batch: list[w.Event] = []
         self.stopping = False
+        self.fronts: list[Listener] = []  # none yet while the parts before them start
         s = config.settings
         self.directory = Directory(config.zones, config.kinds, loop.clock.from_unix_ms, loop.clock.now)
         self.started = loop.clock.now()
         self.conf_loaded, self.conf_invalid = 1, 0
         self.ledger = Ledger(s, LoopTimers(loop), self.batch.append, log, most=4096)
         self.purges: dict[str | int, int] = {}
-        room = split(config.sockets, config.mgmt is not None)
+        room = split(config.sockets, len(config.doors))
         limits = Limits(config.connect_ns, int(config.idle_ns * 0.8), config.streams, room.per_store,
                         room.stores)
         self.pool = Pool(loop, self.directory, self.ledger, limits, [c.name for c in s.classes], log)
         self.ledger.carrier = self.pool
         self.desk: GatewayDesk | None = None
-        self.door: Door | None = None
-        if config.mgmt is not None:
+        self.doors: list[Door] = []
+        if config.doors:
             from olivecourse.ops.desk import GatewayDesk  # only here: without a door none of it is loaded
             from olivecourse.ops.door import Door
 
@@ -94,7 +95,7 @@
         self.peers: Peers | None = None
         if config.peer_listen is not None:
             self.peers = Peers(loop, config.peer_listen, config.peers, config.peers_all,
-                               self.batch.append, log, config.mgmt is not None)
+                               self.batch.append, log, bool(config.doors))
         self.remote: RemotePlanner | None = None
         self.local: Planner | None = None
         self.keeper: Keeper | None = None
@@ -124,11 +125,13 @@
         self.tokens: Tokens | None = None
         self.spent: DurableSpent | None = None
         self.front: Listener = self._front()
+        self.fronts.append(self.front)
+        self.front.draining = not self.takes_work()  # told to the process before, in an upgrade
         self.front.names = config.storms is not None
         if self.succession is not None:
             self.succession.start(self.front)
-        if self.desk is not None and config.mgmt is not None:
-            self.door = Door(loop, config.mgmt, self.desk, log)
+        if self.desk is not None:
+            self.doors = [Door(loop, address, self.desk, log) for address in config.doors]
         if config.inventory is not None:
             loop.after(FILES_NS, self._look_at_files)
 
@@ -140,12 +143,12 @@
         """Clients, and bytes of their unread answers, with so many of the descriptors for this process."""
         config = self.config
         unread = config.memory_mb * 2**20 // 8 * sockets // max(config.sockets, 1)
-        return split(sockets, config.mgmt is not None).clients, unread
+        return split(sockets, len(config.doors)).clients, unread
 
     def _share(self, shared: bool) -> None:
         """Another process of this gateway lives, or no longer: both together keep within one's limits."""
         sockets = self.config.sockets // 2 if shared else self.config.sockets
-        room = split(sockets, self.config.mgmt is not None)
+        room = split(sockets, len(self.config.doors))
         self.pool.limits = replace(self.pool.limits, per_store=room.per_store, total=room.stores)
         self.front.limit(*self._room(sockets))
 
@@ -155,8 +158,8 @@
         wait = s.max_retry_after_ns if s.retry_after else 0
         most, unread = self._room(config.sockets)
         if config.signed is None:
-            return ThriftFront(self.loop, config.listen, self.ledger, classes, lambda: not self.stopping,
-                               wait, most, unread, self.log, config.mgmt is not None,
+            return ThriftFront(self.loop, config.listen, self.ledger, classes, self.takes_work,
+                               wait, most, unread, self.log, bool(config.doors),
                                None if self.succession is None else self.succession.listener)
         from olivecourse.fronts.signed import SignedFront  # only here: the platform's gateway needs neither
         from olivecourse.fronts.tokens import Tokens, read_keys
@@ -213,7 +216,7 @@
             keys = read_keys(fresh.signed.keys)
         moved = [name for name in ("board", "peers", "peers_all", "inventory")
                  if getattr(fresh, name) != getattr(old, name)]
-        fixed = [name for name in ("name", "mgmt", "settings", "zones", "kinds", "connect_ns", "idle_ns",
+        fixed = [name for name in ("name", "doors", "settings", "zones", "kinds", "connect_ns", "idle_ns",
                                    "streams", "sockets", "memory_mb", "peer_listen", "planner", "memory",
                                    "storms")
                  if getattr(fresh, name) != getattr(old, name)]
@@ -259,10 +262,18 @@
         self.ledger.give_up_all("planner lost")
         self.batch.clear()
 
+    def drain(self, draining: bool) -> None:
+        for front in self.fronts:
+            front.drain(draining)
+
+    def takes_work(self) -> bool:
+        """What clients' fronts are told: no at a stop and while operators drain this gateway."""
+        return not self.stopping and (self.desk is None or not self.desk.draining)
+
     def why_not_ready(self) -> str:
         """Empty when requests are served here: listening, with stores, and the board heard."""
-        if self.stopping:
-            return "stopping"
+        if not self.takes_work():
+            return "stopping" if self.stopping else "draining"
         if not any(map(self.directory.ready, self.directory.states)):
             return "no store is usable"
         waiting = self.board is not None and not self.board.answered
@@ -381,8 +392,8 @@
             self.board.stop()
         if self.succession is not None:
             self.succession.close()
-        if self.door is not None:
-            self.door.close()
+        for door in self.doors:
+            door.close()
         if self.remote is not None:
             self.remote.close()
         if self.peers is not None:
--- a/olivecourse/ops/bans.py
+++ b/olivecourse/ops/bans.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+GATEWAY = ""  # said of this id, which no store has: the gateway itself takes no work
 MOST_WORDS = 4096  # ids of which a word is kept; the oldest words that lift a ban go first
 
 
--- a/olivecourse/ops/calls.py
+++ b/olivecourse/ops/calls.py
@@ -6,6 +6,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
+from urllib.parse import unquote
+
+from olivecourse.told.vocabulary import CALLS, Call
 
 MOST_BODY = 4096  # bytes; an id is far shorter
 MOST_ID = 256  # characters
@@ -29,6 +32,10 @@
         """While `out`, from the return on, nothing new goes to that store, nor names it as a source."""
         ...
 
+    def set_draining(self, draining: bool) -> None:
+        """While it drains, this gateway says that it takes no work, and answers all that comes."""
+        ...
+
 
 @dataclass(frozen=True)
 class Reply:
@@ -52,8 +59,12 @@
     return json.dumps(values).encode() + b"\n"
 
 
-def _store(body: bytes) -> str:
-    """The id that a body of the form {"id": text} names."""
+def _store(named: str, body: bytes) -> str:
+    """The id that the path names, or else a body of the form {"id": text}."""
+    if named:
+        if len(named) > MOST_ID:
+            raise BadCall(400, f"an id has {MOST_ID} characters at most")
+        return named
     try:
         said = json.loads(body)
     except (ValueError, RecursionError):
@@ -66,36 +77,44 @@
     return name
 
 
-def _readiness(desk: Desk, body: bytes) -> Reply:
+def _readiness(desk: Desk, named: str, body: bytes) -> Reply:
     why = desk.why_not_ready()
     return Reply(503, _say(ready=False, why=why)) if why else Reply(200, _say(ready=True))
 
 
-def _stats(desk: Desk, body: bytes) -> Reply:
+def _stats(desk: Desk, named: str, body: bytes) -> Reply:
     return Reply(200, desk.figures(), TEXT)
 
 
-def _ban(desk: Desk, body: bytes, out: bool) -> Reply:
-    name = _store(body)
+def _ban(desk: Desk, named: str, body: bytes, out: bool) -> Reply:
+    name = _store(named, body)
     if not desk.listed(name):
         raise BadCall(404, "no list has named this store")
     desk.set_out(name, out)
     return Reply(200, _say(ok=True, id=name, out=out))
 
 
-def _down(desk: Desk, body: bytes) -> Reply:
-    return _ban(desk, body, True)
+def _down(desk: Desk, named: str, body: bytes) -> Reply:
+    return _ban(desk, named, body, True)
+
+
+def _up(desk: Desk, named: str, body: bytes) -> Reply:
+    return _ban(desk, named, body, False)
+
+
+def _drain(desk: Desk, named: str, body: bytes) -> Reply:
+    desk.set_draining(True)
+    return Reply(200, _say(ok=True, draining=True))
 
 
-def _up(desk: Desk, body: bytes) -> Reply:
-    return _ban(desk, body, False)
+def _undrain(desk: Desk, named: str, body: bytes) -> Reply:
+    desk.set_draining(False)
+    return Reply(200, _say(ok=True, draining=False))
 
 
-CALLS: dict[str, tuple[str, Callable[[Desk, bytes], Reply]]] = {
-    "/ops/readiness": ("GET", _readiness),
-    "/ops/stats": ("GET", _stats),
-    "/ops/stores/down": ("PUT", _down),
-    "/ops/stores/up": ("PUT", _up),
+MADE: dict[Call, Callable[[Desk, str, bytes], Reply]] = {
+    Call.READY: _readiness, Call.FIGURES: _stats, Call.DOWN: _down, Call.UP: _up, Call.DRAIN: _drain,
+    Call.UNDRAIN: _undrain,
 }
 
 
@@ -106,14 +125,18 @@
     405 another method (with `Allow`), 413 a body over MOST_BODY bytes, 503 not ready.
     """
     try:
-        found = CALLS.get(path)
+        found, named = CALLS.get(path), ""
         if found is None:
+            head, _, tail = path.rpartition("/")
+            found, named = CALLS.get(head + "/"), unquote(tail)
+        if found is None or path.endswith("/"):
             raise BadCall(404, "no such call")
-        allowed, call = found
-        if method != allowed:
+        call, methods = found
+        if method not in methods:
+            allowed = ", ".join(methods)
             raise BadCall(405, f"{path} takes {allowed}", allowed)
         if len(body) > MOST_BODY:
             raise BadCall(413, f"a body has {MOST_BODY} bytes at most")
-        return call(desk, body)
+        return MADE[call](desk, named, body)
     except BadCall as bad:
         return bad.reply
--- a/olivecourse/ops/desk.py
+++ b/olivecourse/ops/desk.py
@@ -10,7 +10,7 @@
 from olivecourse.core.ledger import Ledger
 from olivecourse.net.stores import Pool
 from olivecourse.notices import Directory
-from olivecourse.ops.bans import Bans, Word
+from olivecourse.ops.bans import GATEWAY, Bans, Word
 from olivecourse.ops.figures import Figures
 
 
@@ -20,6 +20,10 @@
     conf_loaded: int
     conf_invalid: int
 
+    def drain(self, draining: bool) -> None:
+        """Clients are to go elsewhere, or may come again."""
+        ...
+
     def why_not_ready(self) -> str: ...
 
     def avoided(self) -> set[int]:
@@ -59,6 +63,14 @@
             self._changed({store})
             self.spoken()
 
+    def set_draining(self, draining: bool) -> None:
+        self.set_out(GATEWAY, draining)
+
+    @property
+    def draining(self) -> bool:
+        """Whether operators have told this gateway to take no work."""
+        return GATEWAY in self.bans.out
+
     def said(self) -> list[tuple[str, Word]]:
         """The last word on each id."""
         return list(self.bans.words.items())
@@ -70,6 +82,10 @@
     def _changed(self, stores: set[str]) -> None:
         for store in sorted(stores):
             out = store in self.bans.out
+            if store == GATEWAY:
+                self._log("drain_begins" if out else "drain_ends", open=self._ledger.open)
+                self._owner.drain(out)
+                continue
             self._log("store_out_by_hand" if out else "store_back_by_hand", store=store)
             event = self._directory.shown_again(store)
             if event is not None:
--- a/olivecourse/ops/door.py
+++ b/olivecourse/ops/door.py
@@ -18,6 +18,7 @@
 LEAVE_NS = 500 * MS  # for the caller to read its answer and close
 SWEEP_NS = 100 * MS
 MOST_URL = 1024
+MOST_SHOWN = 80  # of a path or body, in the log
 MOST_IN, MOST_OUT = 16_384, 262_144
 
 
@@ -58,7 +59,12 @@
     def on_message_complete(self) -> None:
         path = self.url.partition(b"?")[0].decode("ascii", "replace")
         if not self.answered:
-            self._reply(self.door.answer(self.parser.get_method().decode(), path, bytes(self.body)))
+            method = self.parser.get_method().decode()
+            reply = self.door.answer(method, path, bytes(self.body))
+            if 400 <= reply.status < 500:  # a caller who speaks otherwise than this program
+                self.door.log("ops_call_refused", call=f"{method} {path[:MOST_SHOWN]}", status=reply.status,
+                              body=repr(bytes(self.body[:MOST_SHOWN])))
+            self._reply(reply)
 
     def _reply(self, reply: Reply) -> None:
         if self.answered:
