Take new settings and classes at a reload, and refuse those nobody could serve by

Cause, by writing down the file at each SIGHUP: the first one adds a class (notice-page_new) and sets max_attempts to 2; gateway.py named that as waiting for a restart. The second names a board at port 9 beside a deadline of -5; settings.py read any number, so the reload was taken, and with it the board. The third has no settings and was refused already; the fourth takes classes out and puts them in another order. Ruled out: a board that moves without SIGHUP (four signals came, one for each file), and one that refuses by itself.

Change: settings are checked (finite, not negative, a deadline, names once) at the start and at a reload; told/merging joins new settings to the old, each class keeping its number; ledger, Router, pool, front and figures take them. A class no longer told is taken for 1 s more. What is open keeps its terms, and neither the old nor the new effect of a class is overstepped. With a planner of its own or the signed front, settings still wait for a restart.

--- a/olivecourse/config.py
+++ b/olivecourse/config.py
@@ -13,7 +13,7 @@
 from olivecourse import interface as w
 from olivecourse.inventory import BadInventory, read_inventory
 from olivecourse.net.stream import Address, parse_address
-from olivecourse.settings import Malformed, nested_pairs, read_settings
+from olivecourse.settings import Malformed, check, nested_pairs, read_settings
 from olivecourse.told.vocabulary import DOORS
 
 if TYPE_CHECKING:
@@ -90,8 +90,7 @@
         seed = int(str(raw.get("seed", "0")), 16)
         settings = read_settings(seed, nested_pairs(nested))
         bounds, known, limits = nested.get("limits", {}), raw.get("known", {}), raw.get("limits", {})
-        if not settings.classes:
-            raise BadConfig("settings.profiles: no class of requests")
+        check(settings)
         return Config(
             name=env.get("EDGE_NAME") or str(raw.get("name", "gateway")), listen=listen, settings=settings,
             zones=list(nested.get("zones", ())), kinds=list(nested.get("kinds", ())),
--- a/olivecourse/core/ledger.py
+++ b/olivecourse/core/ledger.py
@@ -14,6 +14,7 @@
 
 MS = 1_000_000
 KEEP_NS = 2_000 * MS  # how long the number of a closed request's attempts is kept for late actions
+STRICTEST = (w.Effect.AT_MOST_ONCE, w.Effect.DEDUPLICATED, w.Effect.IDEMPOTENT)
 GUARD_NS = 4 * MS  # after the Router's own last moment, and still before the client's
 
 
@@ -99,6 +100,17 @@
         self.taken = self.left = 0  # requests taken; those whose client stopped waiting
         self.outcomes = [[0, 0, 0] for _ in settings.classes]  # by class: served, refused, failed
 
+    def settle(self, settings: w.Settings) -> None:
+        """New settings, in which each class has the place it had. What is open keeps its deadline and its
+        class, and what either the old or the new terms forbid is not done."""
+        self._settings = settings
+        self.outcomes += [[0, 0, 0] for _ in settings.classes[len(self.outcomes):]]
+
+    def _effect(self, entry: Entry) -> w.Effect:
+        """The stricter of the effects told of the request's class, when it came and last."""
+        told = (entry.cls.effect, self._settings.classes[entry.ask.cls].effect)
+        return next(e for e in STRICTEST if e in told)
+
     @property
     def tally(self) -> dict[str, int]:
         """Totals over all classes, and of clients who left, since the start."""
@@ -149,7 +161,8 @@
         entry.count += 1
         entry.out[made.number] = made
         # An order that may have run is never sent again, whatever the Router says.
-        twice = entry.cls.effect is w.Effect.AT_MOST_ONCE and (entry.maybe_ran or len(entry.out) > 1)
+        unsafe = self._effect(entry) is w.Effect.AT_MOST_ONCE
+        twice = unsafe and (entry.maybe_ran or len(entry.out) > 1)
         if twice and not entry.closed:
             self._log("second_send_blocked", request=action.request)
         if (entry.closed or twice or made.number >= self._settings.max_attempts or made.deadline <= now
@@ -249,8 +262,9 @@
         """A refusal where one is asked for and a repeat is harmless, else a failure."""
         # What may have run and must not run again is never refused: the client would send it again.
         unproven = entry.maybe_ran or any(a.went for a in entry.out.values())
-        harmless = (entry.cls.effect is w.Effect.IDEMPOTENT or not unproven
-                    or entry.cls.effect is w.Effect.DEDUPLICATED and entry.cls.key_scope is w.Scope.ALL)
+        effect = self._effect(entry)
+        harmless = (effect is w.Effect.IDEMPOTENT or not unproven
+                    or effect is w.Effect.DEDUPLICATED and entry.cls.key_scope is w.Scope.ALL)
         if wait_ns is not None and harmless:
             self.outcomes[entry.ask.cls][1] += 1
             entry.reply.refused(wait_ns)
--- a/olivecourse/core/planner.py
+++ b/olivecourse/core/planner.py
@@ -12,6 +12,10 @@
 class Guard(w.Limits, Protocol):
     """Limits that watch what comes and goes. Either may tell something for the log."""
 
+    def settle(self, settings: w.Settings) -> None:
+        """New settings, in which each class has the place it had."""
+        ...
+
     def came(self, event: w.Event, now: int) -> None: ...
 
     def went(self, actions: list[w.Action], now: int) -> list[w.Action]: ...
@@ -32,6 +36,20 @@
     def start(self) -> list[w.Action]:
         return self.router.start()
 
+    def settle(self, settings: w.Settings) -> None:
+        """From now on the Router goes by these; each class has the place it had, and new ones follow, of
+        which it knows no more than of any class at a start."""
+        router, known = self.router, len(self.router.s.classes)
+        fresh = Router(settings, self._now)
+        router.s = settings
+        for have, start in ((router.size_ns, fresh.size_ns), (router.price_ns, fresh.price_ns),
+                            (router.fills, fresh.fills), (router.near, fresh.near),
+                            (router.slow_hit, fresh.slow_hit)):
+            have += start[known:]
+        router.late_at += fresh.late_at[known:]
+        if self._guard is not None:
+            self._guard.settle(settings)
+
     def decide(self, events: Iterable[w.Event], now: int) -> list[w.Action]:
         self._now = max(self._now, now)
         actions: list[w.Action] = []
--- a/olivecourse/gateway.py
+++ b/olivecourse/gateway.py
@@ -28,6 +28,7 @@
 from olivecourse.net.stores import Limits, Pool
 from olivecourse.net.wheel import Timer
 from olivecourse.notices import BadNotice, Directory
+from olivecourse.told.merging import Merged, merge
 
 if TYPE_CHECKING:
     from olivecourse.fronts.tokens import Tokens
@@ -42,6 +43,7 @@
 BOARD_NS = 3_000 * MS  # a board that has said nothing for so long after a start holds up nobody any more
 LINGER_NS = 900 * MS  # after SIGTERM clients keep coming for 0.6 s; 0.7 s at least are asked for
 LONGEST_NS = 3_000 * MS  # what of the longest deadline counts before SIGKILL may come, plus 0.7 s
+RETIRED_NS = 1_000 * MS  # a class no longer told is still taken for so long: requests are on their way
 STOP_MARGIN_NS = 500 * MS  # the last answers are out this long before SIGKILL may come
 
 
@@ -65,6 +67,7 @@
         loop.stalled = self._stalled
         self.batch: list[w.Event] = []
         self.stopping = False
+        self._merged: Merged | None = None  # the last reload's settings
         self.fronts: list[Listener] = []  # none yet while the parts before them start
         s = config.settings
         self.directory = Directory(config.zones, config.kinds, loop.clock.from_unix_ms, loop.clock.now)
@@ -73,8 +76,7 @@
         self.ledger = Ledger(s, LoopTimers(loop), self.batch.append, log, most=4096)
         self.purges: dict[str | int, int] = {}
         room = split(config.sockets, len(config.doors))
-        limits = Limits(config.connect_ns, int(config.idle_ns * 0.8), config.streams, room.per_store,
-                        room.stores)
+        limits = Limits(per_store=room.per_store, total=room.stores, **self._reach())
         self.pool = Pool(loop, self.directory, self.ledger, limits, [c.name for c in s.classes], log)
         self.ledger.carrier = self.pool
         self.desk: GatewayDesk | None = None
@@ -209,6 +211,8 @@
         their numbered events go on at the board, from the last one told.
         """
         old = self.config
+        alone = self.remote is None and old.signed is None  # else a planner or tokens go by the settings too
+        merged = merge(old.settings, fresh.settings if alone else old.settings)
         keys: Any = None
         if fresh.signed is not None and self.tokens is not None:
             from olivecourse.fronts.tokens import read_keys
@@ -216,10 +220,10 @@
             keys = read_keys(fresh.signed.keys)
         moved = [name for name in ("board", "peers", "peers_all", "inventory")
                  if getattr(fresh, name) != getattr(old, name)]
-        fixed = [name for name in ("name", "doors", "settings", "zones", "kinds", "connect_ns", "idle_ns",
-                                   "streams", "sockets", "memory_mb", "peer_listen", "planner", "memory",
-                                   "storms")
+        fixed = [name for name in ("name", "doors", "zones", "kinds", "sockets", "memory_mb", "peer_listen",
+                                   "planner", "memory", "storms")
                  if getattr(fresh, name) != getattr(old, name)]
+        fixed += merged.waits if alone else ["settings"] if fresh.settings != old.settings else []
         if fresh.listen != old.listen:
             fixed.append("listen")
         # Not the leeway either: with another one an order token could be shown a second time.
@@ -228,7 +232,8 @@
         if signed != old.signed:
             fixed.append("signed")
         self.config = replace(old, board=fresh.board, peers=fresh.peers, peers_all=fresh.peers_all,
-                              inventory=fresh.inventory,
+                              inventory=fresh.inventory, connect_ns=fresh.connect_ns,
+                              idle_ns=fresh.idle_ns, streams=fresh.streams, settings=merged.settings,
                               signed=old.signed if "signed" in fixed else fresh.signed)
         if self.peers is not None:
             self.peers.move(fresh.peers, fresh.peers_all)
@@ -244,8 +249,37 @@
             self._inventory_seen = -1  # read within a second, as after any change
         if keys is not None and self.tokens is not None:
             self.tokens.keys = keys
+        self.pool.limits = replace(self.pool.limits, **self._reach())
+        if alone:
+            self._settle(merged)
         self.conf_loaded += 1
-        self.log("reloaded", moved=moved, needs_restart=fixed)
+        self.log("reloaded", moved=moved + merged.taken, needs_restart=list(dict.fromkeys(fixed)))
+
+    def _reach(self) -> dict[str, int]:
+        """How stores are reached: the pool's limits that descriptors have no part in."""
+        told = self.config
+        return {"connect_ns": told.connect_ns, "idle_ns": int(told.idle_ns * 0.8), "streams": told.streams}
+
+    def _settle(self, merged: Merged) -> None:
+        """Every part goes by the new settings from here on; classes keep their places."""
+        s = merged.settings
+        self.ledger.settle(s)
+        if self.local is not None:
+            self.local.settle(s)
+        names = [c.name for c in s.classes]
+        self.pool.classes[:] = names
+        if self.desk is not None:
+            self.desk.classes[:] = names
+        self.front.wait_ns = s.max_retry_after_ns if s.retry_after else 0
+        live = {name: (place, s.classes[place].write) for name, place in merged.live.items()}
+        self.front.classes = self.front.classes | live
+        self.loop.after(RETIRED_NS, lambda: self._retire(merged))
+        self._merged = merged
+
+    def _retire(self, merged: Merged) -> None:
+        """Who still asks for a class that is told no more gets an error, unless another reload came since."""
+        if merged is self._merged:
+            self.front.classes = {c: place for c, place in self.front.classes.items() if c in merged.live}
 
     def greet(self) -> None:
         """A planner that has just been found knows nothing: tell it the stores and the purges that bind."""
--- a/olivecourse/net/stores.py
+++ b/olivecourse/net/stores.py
@@ -231,7 +231,7 @@
                  log: Callable[..., None]) -> None:
         self.loop, self.directory, self.ledger, self.limits = loop, directory, ledger, limits
         self.log = log
-        self._classes = classes
+        self.classes = classes
         self._stores: dict[int, list[StoreStream]] = {}
         self.count = 0
         self.sends = 0  # attempts whose last byte the system took, since the start
@@ -247,7 +247,7 @@
         act, entry, names = attempt.action, attempt.entry, self.directory.names
         left = max(attempt.deadline - self.loop.clock.now(), MS) // MS
         ask = entry.ask
-        named = [f"sort={self._classes[ask.cls]}", f"asset={ask.object}", f"slice={ask.part or 0}",
+        named = [f"sort={self.classes[ask.cls]}", f"asset={ask.object}", f"slice={ask.part or 0}",
                  f"patience={left}"]
         if isinstance(act, w.ReadThrough):
             if attempt.source is not None:
--- a/olivecourse/settings.py
+++ b/olivecourse/settings.py
@@ -5,7 +5,9 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable, Iterator
+from dataclasses import fields
 from typing import Any
 
 from olivecourse import interface as w
@@ -94,10 +96,40 @@
             row = _pick(conf, {field: (path, read_list(convert))}).get(field, ())
             if i < len(row):
                 own[field] = row[i]
+        own["aim_ns"] = own.get("aim_ns") or own.get("deadline_ns", 0)  # not told: any time will do
         classes.append(w.RequestClass(**own))
     return w.Settings(seed=seed, classes=tuple(classes), **_pick(conf, SETTINGS))
 
 
+NONE_OF_THE_KIND = ("parent_kind", "origin_kind")  # -1 tells that there is none
+
+
+def check(settings: w.Settings) -> None:
+    """Raises Malformed where a gateway could not serve by these settings: for a start and for a reload.
+
+    Unlike the simulator's start message, a file may have been written by hand.
+    """
+    if not settings.classes:
+        raise Malformed("profiles: no class of requests")
+    names = [c.name for c in settings.classes]
+    for name in names:
+        if not name or names.count(name) > 1:
+            raise Malformed(f"profiles: a class {'told twice: ' + name if name else 'without a name'}")
+    parts: list[tuple[str, Any]] = [("", settings), *((f"class {c.name}: ", c) for c in settings.classes)]
+    for place, told in parts:
+        for field in fields(told):
+            value = getattr(told, field.name)
+            for one in value if isinstance(value, tuple) else (value,):
+                if isinstance(one, int | float) and not (
+                        math.isfinite(one) and (one >= 0 or field.name in NONE_OF_THE_KIND)):
+                    raise Malformed(f"{place}{field.name} is {one}")
+    for c in settings.classes:
+        if not c.deadline_ns:
+            raise Malformed(f"class {c.name}: no deadline")
+    if not settings.max_attempts:
+        raise Malformed("max_attempts is 0")
+
+
 def nested_pairs(value: Any, path: str = "") -> Iterator[str]:
     """The pairs of a nested object, as the simulator's start message writes them."""
     if isinstance(value, dict):
--- a/olivecourse/storm/guard.py
+++ b/olivecourse/storm/guard.py
@@ -92,6 +92,9 @@
         self._open: dict[str, Open] = {}
         self.turned = {"late": 0, "crowded": 0, "budget": 0}
 
+    def settle(self, settings: w.Settings) -> None:
+        self._classes = settings.classes
+
     # What the Router asks ------------------------------------------------------------------------------
 
     def admit(self, ask: w.Request, cost_ns: float, left_ns: float, open_: int) -> bool:
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -1,12 +1,18 @@
 """Deployments that differ: words, fields, settings. Nothing is taken for granted that no page promises."""
 
 import json
+import math
 
+import hypothesis
 import pytest
-from stage import OBJECT, REQUEST, Stage
+from hypothesis import given
+from hypothesis import strategies as st
+from stage import OBJECT, REQUEST, SETTINGS, S, Stage
 from test_ops import call, figures, total
 
+from olivecourse.config import BadConfig, read_config
 from olivecourse.fronts import codec
+from olivecourse.told.merging import MOST_CLASSES
 
 FIELDS = {"c": "fichiers", "i": REQUEST, "o": OBJECT, "d": "5000", "n": "0", "shard": "17"}
 HIT = f"{REQUEST} data version=aa,stamp=1,n=HIT 5\r\nhello\r\n".encode()
@@ -89,3 +95,97 @@
     assert stage.until(stage.cache.line)
     assert figures(stage)[total("answered")] == 2
     assert [e for e in stage.names() if e.startswith("drain_")] == ["drain_begins", "drain_ends"]
+
+
+def profile(name, effect="idempotent", **more):
+    return {"name": name, "on_time_ns": S // 2, "aim_stretch": 2.0, "deadline_ns": 3 * S, "worth": 1.0,
+            "effect": effect, "key_scope": "all"} | more
+
+
+def settings(*profiles, **limits):
+    """Those of the stage with other classes; what the family tells of each class follows."""
+    family = SETTINGS["family_info"] | {name: [value] * len(profiles) for name, value in (
+        ("max_age_ns", 0), ("grace_for_ns", 0), ("stale_earns", 0.7))}
+    family["never_kept"] = [p["effect"] == "at_most_once" for p in profiles]
+    return SETTINGS | {"profiles": list(profiles), "family_info": family,
+                       "limits": SETTINGS["limits"] | limits}
+
+
+def reload(stage, **more):
+    stage.gateway.reload(stage.config(stage.raw | more))
+
+
+def fate(stage, client, number, cls):
+    """How a request of this class ends whose store, if it gets so far, holds the object."""
+    ask(client, number, i=f"{number:016x}", c=cls)
+
+    def ended():
+        while line := stage.cache.line():
+            if line.startswith("fetch"):
+                assert f"sort={cls}," in line
+                stage.cache.say(f"{line.split()[1]} data version=aa,stamp=1,n=HIT 1\r\nx\r\n".encode())
+        return [a[1] for a in client.answers() if a[0] == number]
+    return stage.until(ended)[0]
+
+
+def test_a_reload_takes_new_settings_and_classes_keep_their_counts_and_open_requests(stage):
+    client = stage.client()
+    ask(client)
+    assert "fetch" in stage.until(stage.cache.line)
+    orders, files, pages = profile("commande", "at_most_once"), profile("fichiers"), profile("pages")
+    reload(stage, settings=settings(orders, pages, profile("videos"), max_attempts=2))
+    reload(stage, settings=settings(pages, orders, profile("videos"), max_attempts=2))
+    assert stage.gateway.local.router.s.max_attempts == 2
+    stage.cache.say(HIT)
+    assert stage.until(client.answers) == [(1, "success", {}, b"hello")], "taken before, under the old terms"
+    assert [fate(stage, client, n, c) for n, c in ((2, "videos"), (3, "fichiers"), (4, "pages"))] == [
+        "success"] * 3, "who has not heard yet that a class is gone is served for a while"
+    stage.until(lambda: "fichiers" not in stage.gateway.front.classes)
+    assert [fate(stage, client, n, c) for n, c in ((5, "fichiers"), (6, "videos"))] == ["fault", "success"]
+    reload(stage, settings=settings(files, orders, max_attempts=2))
+    assert fate(stage, client, 7, "fichiers") == "success", "it is back, in its old place"
+    now = figures(stage)
+    assert [now[total("answered", c)] for c in ("fichiers", "commande", "pages", "videos")] == [3, 0, 1, 2]
+    told = [v for e, v in stage.logged if e == "reloaded"]
+    assert told[0] == {"moved": ["max_attempts", "classes"], "needs_restart": []}
+    assert "router_fault" not in stage.names()
+
+
+def test_what_is_no_order_when_it_comes_and_is_one_when_its_answer_is_lost_does_not_run_again(stage):
+    client = stage.client()
+    ask(client)
+    assert "fetch" in stage.until(stage.cache.line)
+    reload(stage, settings=settings(profile("fichiers", "at_most_once"), profile("commande", "at_most_once")))
+    stage.cache.conns[-1].close()
+    stage.cache.conns.pop()
+    assert stage.until(client.answers)[0][1] == "failed"
+    assert stage.cache.line() is None
+
+
+def test_names_of_classes_are_bounded_and_what_was_laid_out_at_the_start_waits_for_a_restart(stage):
+    before = stage.gateway.config
+    with pytest.raises(ValueError, match="names of classes"):
+        reload(stage, settings=settings(*(profile(f"c{i}") for i in range(MOST_CLASSES))))
+    assert stage.gateway.config is before
+    reload(stage, settings=SETTINGS | {"az": 0, "zones": ["hub-nord", "edge-1", "edge-2"]})
+    assert [v for e, v in stage.logged if e == "reloaded"][0]["needs_restart"] == ["zones", "zone"]
+    assert stage.gateway.local.router.s.zone == 1
+
+
+WRONG = st.one_of(
+    st.tuples(st.sampled_from(["deadline_ns", "on_time_ns", "worth", "aim_stretch"]),
+              st.sampled_from([-5, -0.1, math.nan, math.inf, "x", "", []])),
+    st.tuples(st.just("deadline_ns"), st.just(0)),
+    st.tuples(st.just("name"), st.sampled_from(["", "commande"])),
+    st.tuples(st.just("effect"), st.sampled_from(["", "safe", 3])))
+
+
+@given(WRONG)
+@hypothesis.settings(max_examples=60, deadline=None)
+def test_settings_by_which_nobody_could_serve_are_refused_at_the_start_and_at_a_reload(wrong):
+    """Seen on a bench day: a deadline of -5 was taken for good, and with it a board that is not there."""
+    field, value = wrong
+    raw = {"listen": "127.0.0.1:0", "board": "127.0.0.1:9", "settings": settings(
+        profile("fichiers") | {field: value}, profile("commande", "at_most_once"))}
+    with pytest.raises(BadConfig):
+        read_config(raw, {})
