--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -7,11 +7,12 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from stage import OBJECT, REQUEST, SETTINGS, S, Stage
+from stage import OBJECT, REQUEST, SETTINGS, S, Stage, member
 from test_ops import call, figures, total
 
-from olivecourse.config import BadConfig, read_config
+from benchmarks.deployments import run as run_deployments
 from olivecourse.fronts import codec
+from olivecourse.config import BadConfig, read_config
 from olivecourse.told.merging import MOST_CLASSES
 
 FIELDS = {"c": "fichiers", "i": REQUEST, "o": OBJECT, "d": "5000", "n": "0", "shard": "17"}
@@ -181,7 +182,7 @@
 
 
 @given(WRONG)
-@hypothesis.settings(max_examples=60, deadline=None)
+@hypothesis.settings(max_examples=60)
 def test_settings_by_which_nobody_could_serve_are_refused_at_the_start_and_at_a_reload(wrong):
     """Seen on a bench day: a deadline of -5 was taken for good, and with it a board that is not there."""
     field, value = wrong
@@ -189,3 +190,64 @@
         profile("fichiers") | {field: value}, profile("commande", "at_most_once"))}
     with pytest.raises(BadConfig):
         read_config(raw, {})
+
+
+def test_load_reports_of_stores_reach_the_module_under_either_word_and_spoilt_ones_do_no_harm():
+    told = SETTINGS | {"stats": {"how": "piggyback", "fields": ["active", "cpu", "x0"]}}
+    with_reports = Stage(settings=told)
+    try:
+        client = with_reports.client()
+        for number, report in enumerate(("inflight:8;util:0.5;x0:1", "cpu:0.5;other:3;active:8", "active:",
+                                         "x", "cpu:nan;active:8", "cpu:0.5"), 1):
+            ask(client, number, i=f"{number:016x}")
+            with_reports.until(with_reports.cache.line)
+            node = with_reports.gateway.local.router.nodes[1]
+            node.bears = 0.0
+            answer = f"{number:016x} data version=aa,stamp=1,n=HIT,l={report} 1\r\nx\r\n"
+            with_reports.cache.say(answer.encode())
+            with_reports.until(lambda n=number: [a for a in client.answers() if a[0] == n])
+            with_reports.turn()
+            assert node.bears == (8.0 if number < 3 else 0.0), report
+        assert [a[1] for a in client.answers()] == ["success"] * 6
+    finally:
+        with_reports.close()
+
+
+def test_a_store_is_placed_by_its_kind_where_a_hub_is_named_like_an_office():
+    """Seen in the rehearsal: every store of the office was taken to stand at the hub."""
+    twin = Stage(settings=SETTINGS | {"zones": ["edge-1", "edge-1"]})
+    try:
+        members = twin.gateway.directory.members
+        assert [members[n].zone for n in (1, 8, 9)] == [1, None, None], "no zone is named hub-nord any more"
+        twin.gateway.told([{"pool": {"members": [
+            member("s-00000008", twin.parent.address, "parent", "edge-1")]}}])
+        assert members[8].zone == 0
+        client = twin.client()
+        ask(client)
+        assert twin.until(twin.cache.line)
+    finally:
+        twin.close()
+
+
+def test_figures_stand_under_the_names_of_both_deployments(stage):
+    client = stage.client()
+    for number in (1, 2):
+        assert fate(stage, client, number, "fichiers") == "success"
+    reload(stage, settings=settings(profile("fichiers"), profile("commande", "at_most_once"), max_attempts=3))
+    text = call(stage, "GET /metrics")[1].decode()
+    named = dict(line.rsplit(" ", 1) for line in text.splitlines() if not line.startswith("#"))
+    for one, other in ((total("answered"), 'lb_served_total{class="fichiers"}'),
+                       (total("deferred", "commande"), 'lb_refused_total{class="commande"}'),
+                       (total("errored"), 'lb_failed_total{class="fichiers"}'),
+                       ("app_sends_total", "lb_attempts_total"), ("app_current", "lb_in_flight"),
+                       ("app_cluster_size", "lb_servers_known"), ("app_cluster_unhealthy", "lb_servers_out"),
+                       ("app_conf_invalid_total", "lb_reloads_refused_total")):
+        assert named[one] == named[other], other
+    assert float(named[total("answered")]) == 2.0 and float(named["lb_attempts_total"]) == 2.0
+    assert (float(named["app_conf_loaded_total"]), float(named["lb_reloads_total"])) == (2.0, 1.0)
+
+
+def test_deployments_that_nobody_has_met_are_served_by_the_rules():
+    """Sixteen of the three hundred of `python -m benchmarks deployments`, each with a gateway process."""
+    found = run_deployments(short=True, seed=1, trials=16)
+    assert found["failed"] == 0, found
