Make a gateway's subsystems parts in one list, and keep what is told in one package

Need: two more subsystems (rollout, recovery) would each have added attributes, an "is not None" in nine places and an order of closing to Gateway.

Change: olivecourse/parts.py has one small interface (teach, start, reloaded, act, settle, takes_work, serves, retire, flushed, stop) and the list, made in one place from the configuration; door, upgrades, peers, memory, storms and file watching are parts, and Gateway names none of them. config, settings, sections, notices and inventory moved to told/; a section is read by the package it belongs to, found by name, so that told rests on types only; the arrows from memory to config and from net to notices that ran back up are gone. No behaviour changes; policy untouched.

--- a/benchmarks/restart.py
+++ b/benchmarks/restart.py
@@ -86,7 +86,7 @@
     from olivecourse.memory.keeper import Keeper
     from olivecourse.memory.section import MemoryConfig, MemorySection
     from olivecourse.net.loop import Loop
-    from olivecourse.settings import nested_pairs, read_settings
+    from olivecourse.told.settings import nested_pairs, read_settings
 
     with tempfile.TemporaryDirectory() as name:
         loop = Loop()
--- a/olivecourse/fronts/listener.py
+++ b/olivecourse/fronts/listener.py
@@ -11,7 +11,8 @@
 
 from olivecourse import interface as w
 from olivecourse.net.loop import READ, Loop
-from olivecourse.net.stream import Address, Stream, listen
+from olivecourse.net.stream import Stream, listen
+from olivecourse.told.address import Address
 
 MS = 1_000_000
 SWEEP_NS = 200 * MS
--- a/olivecourse/fronts/signed.py
+++ b/olivecourse/fronts/signed.py
@@ -20,7 +20,7 @@
 from olivecourse.fronts.thrift import MOST_WRITE, BadRequest, read_request
 from olivecourse.fronts.tokens import Rejected, Tokens
 from olivecourse.net.loop import Loop
-from olivecourse.net.stream import Address
+from olivecourse.told.address import Address
 
 MS = 1_000_000
 MOST_HEAD = 16_384
--- a/olivecourse/fronts/thrift.py
+++ b/olivecourse/fronts/thrift.py
@@ -28,7 +28,7 @@
 from olivecourse.fronts.listener import Client, Handed, Heir, Listener, Taker
 from olivecourse.net.loop import Loop
 from olivecourse.net.ringbuf import BufferFull
-from olivecourse.net.stream import Address
+from olivecourse.told.address import Address
 
 MS = 1_000_000
 MOST_WRITE = 48_000
--- a/olivecourse/gateway.py
+++ b/olivecourse/gateway.py
@@ -7,39 +7,32 @@
 from __future__ import annotations
 
 import gc
-import os
 from collections.abc import Callable
 from dataclasses import replace
-from random import Random
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 from olivecourse import interface as w
-from olivecourse.config import Config
 from olivecourse.core.descriptors import split
 from olivecourse.core.ledger import Ledger
 from olivecourse.core.planner import Planner
 from olivecourse.fronts.listener import Listener
 from olivecourse.fronts.thrift import ThriftFront
-from olivecourse.inventory import BadInventory, read_inventory
 from olivecourse.net.board import Board
 from olivecourse.net.loop import Loop
-from olivecourse.net.peers import Peers
 from olivecourse.net.seam import RemotePlanner
 from olivecourse.net.stores import Limits, Pool
 from olivecourse.net.wheel import Timer
-from olivecourse.notices import BadNotice, Directory
+from olivecourse.parts import Part, parts_of
+from olivecourse.told.config import Config
 from olivecourse.told.merging import Merged, merge
+from olivecourse.told.notices import BadNotice, Directory
 
 if TYPE_CHECKING:
     from olivecourse.fronts.tokens import Tokens
-    from olivecourse.memory.keeper import Keeper
     from olivecourse.memory.tokenstore import DurableSpent
-    from olivecourse.ops.desk import GatewayDesk
-    from olivecourse.ops.door import Door
-    from olivecourse.ops.succession import Succession
 
+P = TypeVar("P", bound=Part)
 MS = 1_000_000
-FILES_NS = 1_000 * MS  # between two looks at the operator's files
 BOARD_NS = 3_000 * MS  # a board that has said nothing for so long after a start holds up nobody any more
 LINGER_NS = 900 * MS  # after SIGTERM clients keep coming for 0.6 s; 0.7 s at least are asked for
 LONGEST_NS = 3_000 * MS  # what of the longest deadline counts before SIGKILL may come, plus 0.7 s
@@ -80,42 +73,15 @@
         self.pool = Pool(loop, self.directory, self.ledger, limits, [c.name for c in s.classes],
                          s.report_fields, log)
         self.ledger.carrier = self.pool
-        self.desk: GatewayDesk | None = None
-        self.doors: list[Door] = []
-        if config.doors:
-            from olivecourse.ops.desk import GatewayDesk  # only here: without a door none of it is loaded
-            from olivecourse.ops.door import Door
-
-            self.desk = GatewayDesk(self, [c.name for c in s.classes], self.ledger, self.pool,
-                                    self.directory, log)
-        self.succession: Succession | None = None
-        if self.desk is not None:
-            from olivecourse.ops.succession import open_succession
-
-            self.succession = open_succession(loop, config.tmpdir, config.name, self.desk, self._share, log)
-            if self.succession is not None:
-                self.desk.spoken = self.succession.say
-        self.peers: Peers | None = None
-        if config.peer_listen is not None:
-            self.peers = Peers(loop, config.peer_listen, config.peers, config.peers_all,
-                               self.batch.append, log, bool(config.doors))
+        self.parts: list[Part] = []
+        for kind in parts_of(config):  # one by one: a part may ask for those before it
+            self.parts.append(kind(self))
         self.remote: RemotePlanner | None = None
         self.local: Planner | None = None
-        self.keeper: Keeper | None = None
         if config.planner is None:
             self.local = Planner(s, loop.clock.now(), log)
-            if config.memory is not None:
-                from olivecourse.memory.keeper import Keeper  # only here: the platform's gateway has no disk
-
-                self.keeper = Keeper(loop, config.memory, config.name, log)
-                self.keeper.adopt(self.local.router)
-                self.keeper.start()
-            if config.storms is not None:
-                from olivecourse.storm.guard import Guard
-
-                self.local.watch(Guard(config.storms.policy(), s, loop.clock.now(), Random(s.seed).random))
-            if self.succession is not None:
-                self.succession.teach(self.local.router)
+            for part in self.parts:
+                part.teach(self.local)
             self.carry_out(self.local.start())
         self.told(config.notices, first=True)
         if config.planner is not None:
@@ -123,20 +89,17 @@
             self.remote = RemotePlanner(loop, config.planner, self.carry_out, self.greet, self._alone, log)
         self.decide()
         self.board = None if config.board is None else Board(loop, config.board, config.rev, self.told, log)
-        self._inventory_seen = self._stamp(config.inventory)
-        self._keys_seen = self._stamp(config.signed.keys if config.signed else None)
         self.tokens: Tokens | None = None
         self.spent: DurableSpent | None = None
         self.front: Listener = self._front()
         self.fronts.append(self.front)
         self.front.draining = not self.takes_work()  # told to the process before, in an upgrade
-        self.front.names = config.storms is not None
-        if self.succession is not None:
-            self.succession.start(self.front)
-        if self.desk is not None:
-            self.doors = [Door(loop, address, self.desk, log) for address in config.doors]
-        if config.inventory is not None:
-            loop.after(FILES_NS, self._look_at_files)
+        for part in self.parts:
+            part.start(self.front)
+
+    def part(self, kind: type[P]) -> P | None:
+        """The part of that kind, if it is on and made by now."""
+        return next((part for part in self.parts if isinstance(part, kind)), None)
 
     def _stalled(self, wall_ns: int, cpu_ns: int) -> None:
         """Much CPU: our own work took so long. Little: the process was not let run."""
@@ -148,7 +111,7 @@
         unread = config.memory_mb * 2**20 // 8 * sockets // max(config.sockets, 1)
         return split(sockets, len(config.doors)).clients, unread
 
-    def _share(self, shared: bool) -> None:
+    def share(self, shared: bool) -> None:
         """Another process of this gateway lives, or no longer: both together keep within one's limits."""
         sockets = self.config.sockets // 2 if shared else self.config.sockets
         room = split(sockets, len(self.config.doors))
@@ -163,47 +126,32 @@
         if config.signed is None:
             return ThriftFront(self.loop, config.listen, self.ledger, classes, self.takes_work,
                                wait, most, unread, self.log, bool(config.doors),
-                               None if self.succession is None else self.succession.listener)
+                               next((sock for p in self.parts if (sock := p.listener()) is not None), None))
         from olivecourse.fronts.signed import SignedFront  # only here: the platform's gateway needs neither
         from olivecourse.fronts.tokens import Tokens, read_keys
 
         leeway = config.signed.leeway_s
         keys = read_keys(config.signed.keys)
-        if config.memory is not None and config.memory.section.tokens is not None:
+        memory = config.sections.get("memory")
+        if memory is not None and memory.section.tokens is not None:
             from olivecourse.memory.tokenstore import DurableSpent
 
-            self.spent = DurableSpent(self.loop, config.memory, config.name, leeway, self.log)
+            self.spent = DurableSpent(self.loop, memory, config.name, leeway, self.log)
         self.tokens = Tokens(config.name, keys, leeway, spent=self.spent)
         return SignedFront(self.loop, config.listen, self.ledger, classes,
                            [c.deadline_ns // MS for c in s.classes], self.tokens, config.signed.public,
                            wait, most, unread, self.log)
 
-    @staticmethod
-    def _stamp(path: str | None) -> int:
-        try:
-            return os.stat(path).st_mtime_ns if path else 0
-        except OSError:
-            return 0
-
-    def _look_at_files(self) -> None:
-        """Takes up a changed inventory or key file; one that can't be used changes nothing."""
-        signed, inventory = self.config.signed, self.config.inventory
-        try:
-            seen = self._stamp(inventory)
-            if inventory is not None and seen != self._inventory_seen:
-                self._inventory_seen = seen
-                self.told([read_inventory(inventory, self.config.zones, self.config.kinds)])
-                self.log("inventory_read", stores=len(self.directory.members))
-            seen = self._stamp(signed.keys if signed else None)
-            if signed is not None and self.tokens is not None and seen != self._keys_seen:
-                self._keys_seen = seen
-                from olivecourse.fronts.tokens import read_keys
-
-                self.tokens.keys = read_keys(signed.keys)
-                self.log("keys_read", keys=len(self.tokens.keys))
-        except (BadInventory, ValueError) as error:
-            self.log("file_unusable", why=str(error))
-        self.loop.after(FILES_NS, self._look_at_files)
+    def new_keys(self) -> bool:
+        """Reads the signed front's key file again; raises ValueError, and then nothing has changed."""
+        signed = self.config.signed
+        if signed is None or self.tokens is None:
+            return False
+        from olivecourse.fronts.tokens import read_keys
+
+        self.tokens.keys = read_keys(signed.keys)
+        self.log("keys_read", keys=len(self.tokens.keys))
+        return True
 
     def reload(self, fresh: Config) -> None:
         """SIGHUP: takes what may change while requests run; the rest is named and waits for a restart.
@@ -222,8 +170,10 @@
         moved = [name for name in ("board", "peers", "peers_all", "inventory")
                  if getattr(fresh, name) != getattr(old, name)]
         fixed = [name for name in ("name", "doors", "zones", "kinds", "sockets", "memory_mb", "peer_listen",
-                                   "planner", "memory", "storms")
+                                   "planner")
                  if getattr(fresh, name) != getattr(old, name)]
+        fixed += sorted(name for name in old.sections.keys() | fresh.sections.keys()
+                        if old.sections.get(name) != fresh.sections.get(name))
         fixed += merged.waits if alone else ["settings"] if fresh.settings != old.settings else []
         if fresh.listen != old.listen:
             fixed.append("listen")
@@ -236,8 +186,6 @@
                               inventory=fresh.inventory, connect_ns=fresh.connect_ns,
                               idle_ns=fresh.idle_ns, streams=fresh.streams, settings=merged.settings,
                               signed=old.signed if "signed" in fixed else fresh.signed)
-        if self.peers is not None:
-            self.peers.move(fresh.peers, fresh.peers_all)
         if self.board is not None and fresh.board is not None:
             self.board.move(fresh.board)
         elif fresh.board is not None:
@@ -246,13 +194,13 @@
             self.board.stop()
             self.config = replace(self.config, rev=self.board.rev)
             self.board = None
-        if "inventory" in moved:
-            self._inventory_seen = -1  # read within a second, as after any change
         if keys is not None and self.tokens is not None:
             self.tokens.keys = keys
         self.pool.limits = replace(self.pool.limits, **self._reach())
         if alone:
             self._settle(merged)
+        for part in self.parts:
+            part.reloaded(old)
         self.conf_loaded += 1
         self.log("reloaded", moved=moved + merged.taken, needs_restart=list(dict.fromkeys(fixed)))
 
@@ -270,8 +218,8 @@
         names = [c.name for c in s.classes]
         self.pool.classes[:] = names
         self.pool.reports = s.report_fields
-        if self.desk is not None:
-            self.desk.classes[:] = names
+        for part in self.parts:
+            part.settle(names)
         self.front.wait_ns = s.max_retry_after_ns if s.retry_after else 0
         live = {name: (place, s.classes[place].write) for name, place in merged.live.items()}
         self.front.classes = self.front.classes | live
@@ -304,7 +252,7 @@
 
     def takes_work(self) -> bool:
         """What clients' fronts are told: no at a stop and while operators drain this gateway."""
-        return not self.stopping and (self.desk is None or not self.desk.draining)
+        return not self.stopping and all(part.takes_work() for part in self.parts)
 
     def why_not_ready(self) -> str:
         """Empty when requests are served here: listening, with stores, and the board heard."""
@@ -317,8 +265,8 @@
             return "the notice board has not answered yet"
         if self.remote is not None and self.remote.stream is None:
             return "no planner"
-        if self.succession is not None:
-            self.succession.serves()
+        for part in self.parts:
+            part.serves()
         return ""
 
     def avoided(self) -> set[int]:
@@ -376,8 +324,9 @@
                 self.ledger.cancel(action)
             elif isinstance(action, w.Log):
                 self.log("module", text=action.text)
-            elif isinstance(action, w.TellPeer) and self.peers is not None:
-                self.peers.tell(action)
+            elif isinstance(action, w.TellPeer):
+                for part in self.parts:
+                    part.act(action)
             elif isinstance(action, w.CloseIdle):
                 self.pool.close_idle(action.cache)
 
@@ -392,16 +341,15 @@
         longest = max(c.deadline_ns for c in self.config.settings.classes)
         last = min(longest, LONGEST_NS) + 700 * MS - STOP_MARGIN_NS
         self.log("stopping", open=self.ledger.open, **self.ledger.tally)
-        handed = self.succession is not None and self.succession.retire()
-        if handed and self.peers is not None:  # the system would go on giving us a part of the datagrams
-            self.peers.close()
-            self.peers = None
+        handed = any([part.retire() for part in self.parts])
+        for part in self.parts if handed else ():
+            part.retired()
         self.loop.after(0 if handed else LINGER_NS, self._may_end)
         self.loop.after(last, lambda: self.ledger.give_up_all("stopping"))
         self.loop.after(last + STOP_MARGIN_NS // 2, self._end)
 
     def _may_end(self) -> None:
-        flushed = self.front.flushed() and (self.succession is None or self.succession.flushed())
+        flushed = self.front.flushed() and all(part.flushed() for part in self.parts)
         if not self.ledger.open and flushed:
             self._end()
         else:
@@ -421,17 +369,12 @@
         self.loop.run(self.decide)
         self.log("stopped", open=self.ledger.open, **self.ledger.tally)
         self.front.close()
-        for kept in (self.keeper, self.spent):
-            if kept is not None:
-                kept.stop()
+        if self.spent is not None:
+            self.spent.stop()
         if self.board is not None:
             self.board.stop()
-        if self.succession is not None:
-            self.succession.close()
-        for door in self.doors:
-            door.close()
+        for part in self.parts:
+            part.stop()
         if self.remote is not None:
             self.remote.close()
-        if self.peers is not None:
-            self.peers.close()
         self.loop.close()
--- a/olivecourse/memory/commands.py
+++ b/olivecourse/memory/commands.py
@@ -17,7 +17,6 @@
 from rich.console import Console
 from rich.table import Table
 
-from olivecourse.config import BadConfig, load_operator
 from olivecourse.memory import codec, container
 from olivecourse.memory.ageing import Elapsed, Kind, Policy, elapsed
 from olivecourse.memory.container import Unusable, derive_key
@@ -29,6 +28,7 @@
 from olivecourse.memory.section import MemoryConfig, MemorySection
 from olivecourse.memory.tokenstore import PART as TOKENS
 from olivecourse.memory.tokenstore import About, BadStore, Store, probe
+from olivecourse.told.config import BadConfig, load_operator
 
 EMPTY, WRONG, IN_USE = 1, 2, 3
 
@@ -47,9 +47,10 @@
             config = load_operator(operator, {})
         except BadConfig as error:
             stop(str(error), WRONG)
-        if config.memory is None:
+        memory: MemoryConfig | None = config.sections.get("memory")
+        if memory is None:
             stop(f"{operator}: no memory section", WRONG)
-        return config.memory, config.name
+        return memory, config.name
     made = MemoryConfig(Path(folder or ""), Path(key) if key else None, MemorySection(str(folder)))
     try:
         if key:
--- a/olivecourse/memory/section.py
+++ b/olivecourse/memory/section.py
@@ -10,7 +10,7 @@
 
 from olivecourse.memory.ageing import DEFAULTS, Decay, Kind, Policy, S
 from olivecourse.memory.container import derive_key
-from olivecourse.sections import BadSection, read_section
+from olivecourse.told.sections import BadSection, read_section
 
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=30 * 86_400)]
 
--- a/olivecourse/net/board.py
+++ b/olivecourse/net/board.py
@@ -9,8 +9,9 @@
 import httptools
 
 from olivecourse.net.loop import Loop
-from olivecourse.net.stream import Address, Stream
+from olivecourse.net.stream import Stream
 from olivecourse.net.wheel import Timer
+from olivecourse.told.address import Address
 
 MS = 1_000_000
 LINGER_MS = 1_500  # short, so that a connection cut off in silence is noticed well before the 7 s are over
--- a/olivecourse/net/peers.py
+++ b/olivecourse/net/peers.py
@@ -7,7 +7,7 @@
 
 from olivecourse import interface as w
 from olivecourse.net.loop import READ, Loop
-from olivecourse.net.stream import Address
+from olivecourse.told.address import Address
 
 MOST = 256  # a longer datagram breaks the protocol
 READS = 64
--- a/olivecourse/net/stores.py
+++ b/olivecourse/net/stores.py
@@ -11,8 +11,9 @@
 from olivecourse import interface as w
 from olivecourse.core.ledger import Attempt, Ledger
 from olivecourse.net.loop import Loop
-from olivecourse.net.stream import Address, Stream
-from olivecourse.notices import Directory
+from olivecourse.net.stream import Stream
+from olivecourse.told.address import Address
+from olivecourse.told.notices import Directory
 from olivecourse.told.vocabulary import REPORTED
 
 MS = 1_000_000
--- a/olivecourse/net/stream.py
+++ b/olivecourse/net/stream.py
@@ -8,18 +8,11 @@
 
 from olivecourse.net.loop import READ, WRITE, Loop
 from olivecourse.net.ringbuf import BufferFull, RingBuffer
+from olivecourse.told.address import Address
 
-Address = tuple[str, int]
 READS = 16  # a turn's reads from one connection: a flood on one must not starve the others
 
 
-def parse_address(text: str) -> Address:
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 <= int(port) < 65536:
-        raise ValueError(f"not an address: {text!r}")
-    return host, int(port)
-
-
 def listen(address: Address, shared: bool = False) -> socket.socket:
     """A listening socket; `shared` lets another process listen at the same address (SO_REUSEPORT)."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/olivecourse/ops/desk.py
+++ b/olivecourse/ops/desk.py
@@ -9,9 +9,9 @@
 from olivecourse import interface as w
 from olivecourse.core.ledger import Ledger
 from olivecourse.net.stores import Pool
-from olivecourse.notices import Directory
 from olivecourse.ops.bans import GATEWAY, Bans, Word
 from olivecourse.ops.figures import Figures
+from olivecourse.told.notices import Directory
 
 
 class Owner(Protocol):
--- a/olivecourse/service.py
+++ b/olivecourse/service.py
@@ -6,10 +6,10 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from olivecourse.config import Config
 from olivecourse.core.planner import Planner
 from olivecourse.net.loop import Loop
 from olivecourse.net.seam import PlannerServer
+from olivecourse.told.config import Config
 
 if TYPE_CHECKING:
     from olivecourse.memory.keeper import Keeper
@@ -21,19 +21,19 @@
             raise ValueError("no planner socket")
         self.loop, self.log, self._config = Loop(), log, config
         self._keeper: Keeper | None = None
-        if config.memory is not None:
+        if "memory" in config.sections:
             from olivecourse.memory.keeper import Keeper
 
-            self._keeper = Keeper(self.loop, config.memory, config.name, log)
+            self._keeper = Keeper(self.loop, config.sections["memory"], config.name, log)
             self._keeper.start()
         self._server = PlannerServer(self.loop, config.planner, config.settings, log, self._made, self._gone)
 
     def _made(self, planner: Planner) -> None:
-        if self._config.storms is not None:
+        if "storms" in self._config.sections:
             from olivecourse.storm.guard import Guard
 
             settings = self._config.settings
-            planner.watch(Guard(self._config.storms.policy(), settings, self.loop.clock.now(),
+            planner.watch(Guard(self._config.sections["storms"].policy(), settings, self.loop.clock.now(),
                                 Random(settings.seed).random))
         if self._keeper is not None:
             self._keeper.adopt(planner.router)
--- a/olivecourse/storm/section.py
+++ b/olivecourse/storm/section.py
@@ -8,6 +8,7 @@
 
 from olivecourse.storm.budgets import Share
 from olivecourse.storm.guard import MS, Policy
+from olivecourse.told.sections import read_section
 
 Level = Annotated[float, msgspec.Meta(ge=0, le=1)]
 
@@ -28,3 +29,8 @@
     def policy(self) -> Policy:
         return Policy(self.notice_on, self.notice_off, self.limiter, self.target_wait_ms * MS,
                       Share(self.retry_share, self.retry_burst, self.retry_floor_per_s))
+
+
+def read_storms(path: str) -> StormSection | None:
+    """The section of the operator's file at `path`, or None without one; raises BadSection."""
+    return read_section(path, "storms", StormSection)
--- /dev/null
+++ b/olivecourse/told/address.py
@@ -0,0 +1,13 @@
+"""Addresses as they are told: HOST:PORT."""
+
+from __future__ import annotations
+
+Address = tuple[str, int]
+
+
+def parse_address(text: str) -> Address:
+    """Raises ValueError."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise ValueError(f"not an address: {text!r}")
+    return host, int(port)
--- a/olivecourse/config.py
+++ b/olivecourse/told/config.py
@@ -5,20 +5,21 @@
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
+from importlib import import_module
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import yaml
 
 from olivecourse import interface as w
-from olivecourse.inventory import BadInventory, read_inventory
-from olivecourse.net.stream import Address, parse_address
-from olivecourse.settings import Malformed, check, nested_pairs, read_settings
+from olivecourse.told.address import Address, parse_address
+from olivecourse.told.inventory import BadInventory, read_inventory
+from olivecourse.told.settings import Malformed, check, nested_pairs, read_settings
 from olivecourse.told.vocabulary import DOORS
 
-if TYPE_CHECKING:
-    from olivecourse.memory.section import MemoryConfig
-    from olivecourse.storm.section import StormSection
+# Sections of an operator's file, and what reads each from the file at a path.
+SECTIONS = {"memory": "olivecourse.memory.section:read_memory",
+            "storms": "olivecourse.storm.section:read_storms"}
 
 
 class BadConfig(Exception):
@@ -57,8 +58,7 @@
     signed: Signed | None = None
     inventory: str | None = None
     planner: str | None = None  # the socket of a planner in a process of its own
-    memory: MemoryConfig | None = None  # where what was learned survives a restart
-    storms: StormSection | None = None  # limits while a retry storm is on
+    sections: Mapping[str, Any] = field(default_factory=dict)  # of an operator's file: see SECTIONS
 
 
 def _address(raw: Mapping[str, Any], name: str) -> Address | None:
@@ -126,28 +126,19 @@
         raise BadConfig(f"{path}: {error}") from None
 
 
-def _memory(path: str, raw: dict[str, Any]) -> MemoryConfig | None:
-    if raw.get("memory") is None:
-        return None
-    from olivecourse.memory.section import read_memory  # only here: the platform needs none of its libraries
-    from olivecourse.sections import BadSection
-
-    try:
-        return read_memory(path)
-    except BadSection as error:
-        raise BadConfig(str(error)) from None
-
+def _sections(path: str, raw: dict[str, Any]) -> dict[str, Any]:
+    """The sections that the file has, each read by its own package, which is loaded only then."""
+    from olivecourse.told.sections import BadSection
 
-def _storms(path: str, raw: dict[str, Any]) -> StormSection | None:
-    if raw.get("storms") is None:
-        return None
-    from olivecourse.sections import BadSection, read_section
-    from olivecourse.storm.section import StormSection
-
-    try:
-        return read_section(path, "storms", StormSection)
-    except BadSection as error:
-        raise BadConfig(str(error)) from None
+    found = {}
+    for name, reader in SECTIONS.items():
+        if raw.get(name) is not None:
+            module, _, function = reader.partition(":")
+            try:
+                found[name] = getattr(import_module(module), function)(path)
+            except BadSection as error:
+                raise BadConfig(str(error)) from None
+    return found
 
 
 def load_operator(path: str, env: Mapping[str, str]) -> Config:
@@ -180,8 +171,7 @@
         notice = read_inventory(inventory, config.zones, config.kinds)
         planner = raw.get("planner")
         return replace(config, signed=front, inventory=inventory, notices=[notice, *config.notices],
-                       planner=str(here / planner) if planner else None, memory=_memory(path, raw),
-                       storms=_storms(path, raw))
+                       planner=str(here / planner) if planner else None, sections=_sections(path, raw))
     except (BadConfig, BadInventory) as error:
         text = str(error)  # which may name the file and a line of it already
         raise BadConfig(text if text.startswith(f"{path}:") else f"{path}: {text}") from None
--- a/olivecourse/inventory.py
+++ b/olivecourse/told/inventory.py
@@ -13,7 +13,7 @@
 
 import yaml
 
-from olivecourse.net.stream import parse_address
+from olivecourse.told.address import parse_address
 
 NEEDED, MAY = ("name", "address", "zone", "kind"), ("size", "cell", "state")
 STATES = {"ready": "Ready", "draining": "Terminating", "gone": "Gone"}
--- a/olivecourse/notices.py
+++ b/olivecourse/told/notices.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from olivecourse import interface as w
-from olivecourse.net.stream import Address, parse_address
+from olivecourse.told.address import Address, parse_address
 
 STATES = {"Ready": w.State.READY, "Terminating": w.State.DRAINING, "Gone": w.State.GONE}
 HEX_ID = re.compile(r"[A-Za-z]*-?([0-9a-f]{8})")
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -12,7 +12,8 @@
 
 from benchmarks.deployments import run as run_deployments
 from olivecourse.fronts import codec
-from olivecourse.config import BadConfig, read_config
+from olivecourse.parts import DoorPart
+from olivecourse.told.config import BadConfig, read_config
 from olivecourse.told.merging import MOST_CLASSES
 
 FIELDS = {"c": "fichiers", "i": REQUEST, "o": OBJECT, "d": "5000", "n": "0", "shard": "17"}
@@ -53,7 +54,7 @@
 def test_the_door_opens_by_either_name_and_speaks_both_vocabularies_at_each():
     two = Stage(admin="127.0.0.1:0", env={"EDGE_MGMT": "localhost:0"})
     try:
-        doors = two.gateway.doors
+        doors = two.gateway.part(DoorPart).doors
         assert len(doors) == 2
         for _ in range(2):
             doors.reverse()  # `call` goes to the first
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -20,7 +20,6 @@
 
 from olivecourse import interface as w
 from olivecourse.choice import Router
-from olivecourse.config import BadConfig, load_operator
 from olivecourse.memory import codec, container
 from olivecourse.memory.ageing import DEFAULTS, Decay, Elapsed, Policy, elapsed
 from olivecourse.memory.collect import GROUPS, MOST_PURGES, Watcher, collect
@@ -34,6 +33,7 @@
 from olivecourse.memory.section import MemoryConfig, MemorySection
 from olivecourse.memory.uptake import Uptake
 from olivecourse.net.loop import Loop
+from olivecourse.told.config import BadConfig, load_operator
 
 DATA = Path(__file__).parent / "data"
 POLICY = Policy(DEFAULTS)
@@ -450,7 +450,7 @@
     with pytest.raises(BadConfig, match=r"operator.yaml:9: storms.limiter: Invalid enum value"):
         load_operator(path, {})
     path = operator(folder, "  folder: m\nstorms: {}\n")
-    assert load_operator(path, {}).storms.policy().limiter == "aimd"
+    assert load_operator(path, {}).sections["storms"].policy().limiter == "aimd"
 
 
 def test_what_a_killed_gateway_knew_is_taken_up_and_a_second_one_may_not_start(world):  # noqa: F811
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -19,6 +19,7 @@
 from olivecourse.gateway import Gateway
 from olivecourse.ops.bans import Bans, Word
 from olivecourse.ops.door import MOST_CALLERS
+from olivecourse.parts import DoorPart
 
 GAUGES = {"app_current", "app_cluster_size", "app_cluster_unhealthy", "app_turn_seconds_max",
           "app_conf_loaded_total", "app_conf_invalid_total"}
@@ -36,7 +37,7 @@
 
     def __init__(self, stage, head, body=b"", cut=0):
         self.stage = stage
-        self.sock = socket.create_connection(("127.0.0.1", stage.gateway.doors[0].port))
+        self.sock = socket.create_connection(("127.0.0.1", stage.gateway.part(DoorPart).doors[0].port))
         self.sock.setblocking(False)
         self.data = b""
         whole = f"{head} HTTP/1.1\r\nHost: ops\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
@@ -97,15 +98,16 @@
 
 
 def test_calls_are_answered_beside_callers_who_hold_connections_and_say_little(stage):
-    silent = [socket.create_connection(("127.0.0.1", stage.gateway.doors[0].port)) for _ in range(50)]
+    door = stage.gateway.part(DoorPart).doors[0]
+    silent = [socket.create_connection(("127.0.0.1", door.port)) for _ in range(50)]
     for sock in silent[::2]:
         sock.sendall(b"GET /ops/readiness HTTP/1.1\r\nHo")
-    stage.until(lambda: len(stage.gateway.doors[0].callers) == MOST_CALLERS)
+    stage.until(lambda: len(stage.gateway.part(DoorPart).doors[0].callers) == MOST_CALLERS)
     began = time.monotonic()
     assert call(stage, "GET /ops/readiness")[0] == 200
     assert time.monotonic() - began < 0.5
-    assert len(stage.gateway.doors[0].callers) <= MOST_CALLERS
-    stage.until(lambda: not stage.gateway.doors[0].callers)  # all are closed within seconds, whoever they are
+    assert len(door.callers) <= MOST_CALLERS
+    stage.until(lambda: not door.callers)  # all are closed within seconds, whoever they are
     for sock in silent:
         sock.close()
 
@@ -226,7 +228,7 @@
 def test_without_a_door_nothing_of_it_is_there():
     stage = Stage()
     try:
-        assert not stage.gateway.doors and stage.gateway.directory.shown(
+        assert stage.gateway.part(DoorPart) is None and stage.gateway.directory.shown(
             w.Member(1, 1.0)) == w.Member(1, 1.0)
     finally:
         stage.close()
--- a/tests/test_signed.py
+++ b/tests/test_signed.py
@@ -7,8 +7,9 @@
 import pytest
 from stage import OBJECT, SETTINGS, Client, Stage
 
-from olivecourse.config import BadConfig, load_operator
 from olivecourse.fronts import tokens
+from olivecourse.parts import FilesPart
+from olivecourse.told.config import BadConfig, load_operator
 
 PUBLIC = "https://calendriers.example"
 PATH = f"/fichiers/{OBJECT}/0?shard=17&kb=41.5"
@@ -147,11 +148,11 @@
     link = stage.link()
     keys = stage.folder / "keys.json"
     keys.write_text(json.dumps({"union": {"keys": [jwk("k2"), jwk("k3")]}}))
-    stage.gateway._keys_seen = 0
+    stage.gateway.part(FilesPart).keys_seen = 0
     stage.until(lambda: "keys_read" in stage.names())
     assert stage.status(stage.ask(link)) == 403
     keys.write_text("{")
-    stage.gateway._keys_seen = 0
+    stage.gateway.part(FilesPart).keys_seen = 0
     stage.until(lambda: "file_unusable" in stage.names())
     assert set(stage.tokens.keys) == {"k2", "k3"}
 
@@ -242,7 +243,7 @@
 def test_a_store_taken_off_the_inventory_gets_nothing_more(stage):
     path = stage.folder / "stores.csv"
     path.write_text("".join(x for x in path.read_text().splitlines(True) if "s-00000001" not in x))
-    stage.gateway._inventory_seen = 0
+    stage.gateway.part(FilesPart).inventory_seen = 0
     stage.until(lambda: "inventory_read" in stage.names())
     assert stage.status(stage.ask(stage.link())) == 503
     assert stage.cache.line() is None
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -22,6 +22,7 @@
 from olivecourse.ops.handwire import BadMessage, Decoder, Kind, Message
 from olivecourse.ops.presence import NoFolder, Presence
 from olivecourse.ops.standing import Passages, Standing
+from olivecourse.parts import DoorPart, PeersPart, UpgradePart
 
 
 class Upgrade:
@@ -66,19 +67,19 @@
     def kill(self, gateway):
         """Outright: the system closes all that the process held."""
         self.killed.add(gateway)
-        s = gateway.succession
+        s = gateway.part(UpgradePart).succession
         for link in s._links():
             link.sock.shutdown(socket.SHUT_RDWR)
             link.sock.close()
         os.close(s._presence._lock)
         gateway.front.no_more()
-        gateway.doors[0].close()
+        gateway.part(DoorPart).doors[0].close()
 
     def close(self):
         for gateway in self.all:
             if gateway not in self.killed:
-                gateway.succession.close()
-                gateway.doors[0].close()
+                gateway.part(UpgradePart).succession.close()
+                gateway.part(DoorPart).doors[0].close()
                 gateway.front.close()
         for thing in (*self.peers, *(c.sock for c in self.clients)):
             thing.close()
@@ -217,7 +218,7 @@
     assert "record_unusable" in again.names() and "handover_unanswered" not in again.names()
     left = sorted(p.suffix for p in (tmp_path / "olivecourse-n0").iterdir())
     assert left == [".json", ".lock", ".sock"], "what the dead left is cleared away"
-    again.gateway.succession.close()
+    again.gateway.part(UpgradePart).succession.close()
     again.close()
 
 
@@ -227,7 +228,7 @@
     with pytest.raises(NoFolder):
         Presence(str(tmp_path), "n0", lambda event, **v: None)
     stage = Stage(mgmt="127.0.0.1:0", env={"TMPDIR": str(tmp_path)})
-    assert stage.gateway.succession is None and "presence_unusable" in stage.names()
+    assert stage.gateway.part(UpgradePart).succession is None and "presence_unusable" in stage.names()
     stage.close()
 
 
@@ -336,7 +337,7 @@
         up.until(lambda: up.cache.poll().count(b"fetch ") == 1)
         new, came = up.follow(), []
         old.stop()
-        new.peers._emit = came.append
+        new.part(PeersPart).peers._emit = came.append
         for n in range(20):
             peer.sendto(b"%d" % n, ("127.0.0.1", int(here.rpartition(":")[2])))
         up.until(lambda: len(came) == 20)
@@ -359,8 +360,9 @@
     loop.close()
     new, (left, right) = upgrade.follow(), socket.socketpair()
     head = {"conn": 1, "last": 1, "taken": 1, "open": [1], "in": 200_000}
-    new.succession.heard(new.succession._links()[0],
-                         Message(Kind.CLIENT, head, b"\0" * 200_000, with_socket=True), left)
+    there = new.part(UpgradePart).succession
+    there.heard(there._links()[0],
+                Message(Kind.CLIENT, head, b"\0" * 200_000, with_socket=True), left)
     assert right.recv(9) == b"" and not new.front.clients
     right.close()
 
@@ -422,10 +424,10 @@
 def test_a_drain_holds_in_both_processes_of_an_upgrade_until_either_is_called_back(upgrade):
     """Two processes count as one gateway: else the newcomer says that it takes work."""
     old = upgrade.all[0]
-    old.desk.set_draining(True)
+    old.part(DoorPart).desk.set_draining(True)
     new = upgrade.follow(status=503)
     assert new.why_not_ready() == "draining" and new.front.draining
-    new.desk.set_draining(False)
+    new.part(DoorPart).desk.set_draining(False)
     upgrade.until(lambda: old.takes_work() and new.takes_work())
-    new.desk.set_draining(True)
+    new.part(DoorPart).desk.set_draining(True)
     upgrade.until(lambda: not old.takes_work())
