Judge a version only once it has been asked, and plant a bad one in the benchmark

Seen: with five gateways a version that refuses everything reached two of five. Cause, by its counts: its clients had gone to other gateways while it was replaced, so the canary's soak passed with next to nothing asked of it. Ruled out: the gate itself (fed with such counts it halts on the first look).

Change: a wave is through only when the new version has ended 50 requests, or after ten soaks; stand-in clients go home again and find another gateway of the office; the benchmark plants a version that is ready and refuses, and replaces processes by SIGTERM.

--- a/benchmarks/_fleet.py
+++ b/benchmarks/_fleet.py
@@ -56,8 +56,9 @@
         self.over, self.samples, self.most_out = 0, 0, 0
         self.player = Player(self.network, self.names, self.pid, self.start, self.killed)
         self.sampling = True
-        self.replacing, self.bad_versions = False, dict[str, float]()
+        self.replacing, self.bad = False, ""  # the version that is planted to serve nothing
         self.reached: set[str] = set()
+        self._leaving: set[str] = set()
         self.crowds: dict[str, Crowd] = {}
         self._rate = rate
         self._members = {s.name: self._member(s) for s in self.world.stores}
@@ -78,6 +79,8 @@
         told = settings(CLASSES)
         told["contract"]["cold_ns"] = int(COLD_S * 1e9)
         (self.folder / "settings.json").write_text(json.dumps(told))
+        # The planted bad version takes itself for a gateway of the hub: it is ready, and refuses.
+        (self.folder / "bad.json").write_text(json.dumps({**told, "az": 0}))
         rows = [f"{m['id']},{m['host_port']},{m['locality']},{m['flavor']},8" for m in self._members.values()]
         (self.folder / "stores.csv").write_text("\n".join(["name,address,zone,kind,size", *rows]) + "\n")
         (self.folder / "keys.json").write_text(json.dumps({"current": 1, "keys": {"1": "5a" * 32}}))
@@ -94,6 +97,7 @@
                                    "budgets": {"stores": {"number": self.budget, "share": 0.5},
                                                "gateways": {"number": 1, "share": 0.5}}}
             (self.folder / f"{name}.yaml").write_text(yaml.safe_dump(said))
+            (self.folder / f"{name}-bad.yaml").write_text(yaml.safe_dump({**said, "settings": "bad.json"}))
             if self.agree and name in self.members:
                 from olivecourse.rollout.section import read_rollout
                 from olivecourse.rollout.store import Disk
@@ -109,7 +113,8 @@
         self.started[name] += 1
         tmp = self.folder / f"tmp-{name}"
         tmp.mkdir(exist_ok=True)
-        self.running[name] = Gateway(self.folder / f"{name}.yaml", native=True, TMPDIR=str(tmp),
+        bad = "-bad" if self.versions[name] == self.bad else ""
+        self.running[name] = Gateway(self.folder / f"{name}{bad}.yaml", native=True, TMPDIR=str(tmp),
                                      OLIVECOURSE_VERSION=self.versions[name])
 
     def pid(self, name: str) -> int | None:
@@ -179,7 +184,8 @@
 
     def load(self) -> None:
         for i, name in enumerate(self.names):
-            self.crowds[name] = Crowd(self.world, self.ports[name], SORTS, self._rate, self.seed + i,
+            ports = [self.ports[n] for n in self.names[i:] + self.names[:i]]
+            self.crowds[name] = Crowd(self.world, ports, SORTS, self._rate, self.seed + i,
                                       self.observer.fault, conns=2, objects=4000)
 
     # Stores and their staff ---------------------------------------------------------------------------
@@ -260,11 +266,25 @@
             if self.samples % len(self.names) != self.names.index(name):
                 continue
             wanted = self.status(name).get("replace_with") if self.pid(name) else None
-            if wanted:
-                self.running[name].kill()
-                self.versions[name] = wanted
-                self.reached.add(f"{name} {wanted}")
-                self.start(name)
+            if wanted and name not in self._leaving:
+                self.replace(name, wanted)
+
+    def replace(self, name: str, version: str) -> None:
+        """As an init system does: SIGTERM, and the next version once the process has ended."""
+        self._leaving.add(name)
+        process = self.running[name].process
+        process.send_signal(signal.SIGTERM)
+
+        def ended() -> None:
+            if process.poll() is None:
+                self.world.at(time.monotonic() + 0.05, ended)
+                return
+            self._leaving.discard(name)
+            self.versions[name] = version
+            self.reached.add(f"{name} {version}")
+            self.start(name)
+
+        ended()
 
     def script(self, faults: list[Fault]) -> None:
         self.player.script(faults)
--- a/benchmarks/rollout.py
+++ b/benchmarks/rollout.py
@@ -119,38 +119,37 @@
     return found
 
 
-def release(seed: int, agree: bool, bad: bool, gates: bool, gateways: int = 5) -> dict[str, Any]:
-    """One release through the whole fleet under load; the share of gateways that got it, and the service.
-    Without agreement a script replaces one gateway after the other, each as soon as the last one runs."""
+def release(seed: int, agree: bool, bad: bool, gateways: int = 10) -> dict[str, Any]:
+    """One release through a fleet under load: the share of gateways that got the version, and the service
+    from the first word to the end. Without agreement a script replaces one gateway after the other, each as
+    soon as the last one says that it is ready, as today."""
     with tempfile.TemporaryDirectory() as name:
-        fleet = Fleet(Path(name), gateways, 3, seed=seed, agree=agree, rate=30.0)
+        fleet = Fleet(Path(name), gateways, 3, seed=seed, agree=agree, rate=12.0)
         try:
-            fleet.ready()
+            fleet.ready(30)
             fleet.load()
-            fleet.world.run(1.5)
+            fleet.world.run(2.0)
             calm = fleet.tally()
-            if bad:
-                fleet.bad_versions["v2"] = 0.3
+            fleet.bad = "v2" if bad else ""
             if agree:
-                plan = {"version": "v2", "before": "v1", "waves": [10, 50, 100], "soak_s": 2.0,
-                        "gates": gates}
+                plan = {"version": "v2", "before": "v1", "waves": [10, 50, 100], "soak_s": 3.0, "gates": True,
+                        "alpha": 0.01, "worse": 2.0}
                 fleet.replacing = True
                 fleet.say("n0", "plan", plan=plan)
                 fleet.say("n0", "start")
-                fleet.until(lambda: fleet.state_of("n0") in ("done", "halted"), 60)
+                fleet.until(lambda: fleet.state_of("n0") in ("done", "halted"), 90)
             else:
                 for one in fleet.names:
-                    fleet.running[one].kill()
-                    fleet.versions[one] = "v2"
-                    fleet.start(one)
-                    fleet.until(lambda one=one: bool(fleet.call(one, "GET", "/ops/readiness")[0] == 200), 10)
+                    fleet.replace(one, "v2")
+                    fleet.until(lambda one=one: fleet.versions[one] == "v2" and
+                                fleet.call(one, "GET", "/ops/readiness")[0] == 200, 15)
             fleet.world.run(0.5)
             ends = fleet.tally()
             ends.subtract(calm)
-            asked = sum(ends.values())
             lost = sum(crowd.lost for crowd in fleet.crowds.values())
             return {"reached": sum(v == "v2" for v in fleet.versions.values()) / gateways,
-                    "service": ends["served"] / max(asked + lost, 1)}
+                    "service": ends["served"] / max(sum(ends.values()) + lost, 1),
+                    "calm": calm["served"] / max(sum(calm.values()), 1)}
         finally:
             fleet.close()
 
@@ -193,7 +192,7 @@
     jobs = [(seed + i, min(each, runs - i), sizes[i // each % 3], True, "majority")
             for i in range(0, runs, each)]
     off = [(seed + 500_000, 2 if short else 20, 5, False, "majority")]
-    with ThreadPoolExecutor(4) as pool:
+    with ThreadPoolExecutor(4 if short else 6) as pool:
         rows = [row for found in pool.map(play, jobs) for row in found]
         without = [row for found in pool.map(play, off) for row in found]
     played = [row for row in rows if "seed" in row]
@@ -211,15 +210,25 @@
         "ended": sum(row["ended"] for row in played),
         "grant_ms_p99": None if not grants else round(1000 * (percentile(grants, 0.99) or 0.0)),
         "halt_everywhere_s_p99": percentile(halted, 0.99), **checked}
+    found |= {"service_during": None, "service_during_off": None, "bad_release_reached": None,
+              "bad_release_reached_off": None}
     if not short:
         found |= longer(seed)
     return {**found, "seed": seed}
 
 
 def longer(seed: int) -> dict[str, Any]:
+    """Five repeats of a good and of a bad version, with agreement and without, and the cost for each node."""
+    jobs = [(seed + n, agree, bad) for n in range(5) for agree in (True, False) for bad in (False, True)]
     with ThreadPoolExecutor(2) as pool:
-        on = list(pool.map(lambda n: release(seed + n, True, False, False), range(5)))
-        off = list(pool.map(lambda n: release(seed + n, False, False, False), range(5)))
-    return {"service_during": [round(r["service"], 4) for r in on],
-            "service_during_off": [round(r["service"], 4) for r in off],
+        played = list(pool.map(lambda job: release(*job), jobs))
+
+    def rows(what: str, agree: bool, bad: bool) -> list[float]:
+        return [round(r[what], 4) for job, r in zip(jobs, played, strict=True) if job[1:] == (agree, bad)]
+
+    return {"service_during": rows("service", True, False),
+            "service_during_off": rows("service", False, False),
+            "service_calm": rows("calm", True, False),
+            "bad_release_reached": rows("reached", True, True),
+            "bad_release_reached_off": rows("reached", False, True),
             "datagrams_a_second": {n: round(cost(n, seed), 1) for n in (3, 8, 16, 50, 100, 200)}}
--- a/olivecourse/emulator/clients.py
+++ b/olivecourse/emulator/clients.py
@@ -30,12 +30,13 @@
 
 
 class Crowd:
-    """Open loop against one gateway. `ends` counts answers by kind: served, refused, failed; what breaks the
-    rule of one final answer goes to `fault(rule, words)`."""
+    """Open loop against one gateway, or the first of several that lets it in. `ends` counts answers by kind:
+    served, refused, failed; what breaks the rule of one final answer goes to `fault(rule, words)`."""
 
-    def __init__(self, world: World, port: int, sorts: Sequence[Sort], rate: float, seed: int,
+    def __init__(self, world: World, port: int | Sequence[int], sorts: Sequence[Sort], rate: float, seed: int,
                  fault: Callable[[str, str], None], conns: int = 4, objects: int = 400) -> None:
-        self._world, self._port, self._sorts, self._rate, self._fault = world, port, sorts, rate, fault
+        self._ports = [port] if isinstance(port, int) else list(port)
+        self._world, self._sorts, self._rate, self._fault = world, sorts, rate, fault
         self.random = random.Random(seed)
         self._objects = objects
         self.ends: Counter[str] = Counter()
@@ -47,6 +48,7 @@
         self._numbers = [0] * conns
         self._socks: list[socket.socket | None] = [None] * conns
         self._buffers = [bytearray() for _ in range(conns)]
+        self._away = [0] * conns  # which of the ports a connection is on
         for i in range(conns):
             self._connect(i)
         self._due = time.monotonic()
@@ -62,13 +64,11 @@
 
     def _connect(self, i: int) -> None:
         self._numbers[i], self._buffers[i] = 0, bytearray()
-        try:
-            sock = socket.create_connection(("127.0.0.1", self._port), timeout=0.2)
-        except OSError:
-            self._socks[i] = None
-            return
-        sock.setblocking(False)
+        found = ((n, _connected(port)) for n, port in enumerate(self._ports))
+        self._away[i], sock = next(((n, s) for n, s in found if s is not None), (0, None))
         self._socks[i] = sock
+        if sock is None:
+            return
         self._world.selector.register(sock, selectors.EVENT_READ, lambda: self._read(i, sock))
 
     def _drop(self, i: int) -> None:
@@ -87,6 +87,10 @@
         now = time.monotonic()
         self._late(now)
         i = self.random.randrange(len(self._socks))
+        # Now and then a connection that is idle goes home again.
+        home = self._away[i] and not any(key[0] == i for key in self._open) and self.random.random() < 0.1
+        if home:
+            self._drop(i)
         if self._socks[i] is None:
             self._connect(i)
         sock = self._socks[i]
@@ -164,6 +168,15 @@
             self._drop(i)
 
 
+def _connected(port: int) -> socket.socket | None:
+    try:
+        sock = socket.create_connection(("127.0.0.1", port), timeout=0.2)
+    except OSError:
+        return None
+    sock.setblocking(False)
+    return sock
+
+
 def well(port: int) -> bool:
     """Whether a gateway says at its front that it takes work; waits a second at most."""
     try:
--- a/olivecourse/rollout/member.py
+++ b/olivecourse/rollout/member.py
@@ -29,6 +29,7 @@
 MOST_OUT = 8  # of a group's that a vote names: more than any budget
 FLOOD = 6  # peers that a halt is told by each who hears of it, in a fleet that is larger
 MOST_ASKS = 64
+LEAST_SEEN, UNSEEN_SOAKS = 50, 10  # requests that a gate wants of the new version; soaks it waits for them
 
 
 class Ask(msgspec.Struct, frozen=True, array_like=True):
@@ -324,13 +325,22 @@
             self._through_since = None
         elif self._through_since is None or self._through_since[0] != mark:
             self._through_since = (mark, now)
+        soak = release.plan.soak_s * (UNSEEN_SOAKS if self._unseen(release) else 1)
         last = release.wave + 1 >= len(release.plan.waves) or release.state is State.ROLLING_BACK
         if (self._through_since is not None and not self.halted
-                and now - self._through_since[1] >= (0 if last else release.plan.soak_s) * S):
+                and now - self._through_since[1] >= (0 if last else soak) * S):
             self._through_since = None
             word = Word.END if last else Word.NEXT
             self.ask(releases.KEY, Say(word, release.term, self.setup.me, now // S), now)
 
+    def _unseen(self, release: Release) -> bool:
+        """Whether gates are on and the new version has been asked too little to be judged."""
+        if self._gate is None:
+            return False
+        asked = sum(self.hearing.counts(n)[0] for n in self.setup.fleet
+                    if (beat := self.hearing.beat(n)) is not None and beat.version == release.version)
+        return asked < LEAST_SEEN
+
     def _gated(self, release: Release, now: int) -> bool:
         """Whether the new version was found to serve worse, and the release is being halted for it."""
         if release.state is not State.RUNNING or self.setup.gates is None or not release.plan.gates:
