Trust a folder an hour old only with a majority, and name settings nobody reads

Need: a folder restored from a copy holds its seals and has forgotten what was promised since; an unknown setting was passed over without a word.

Change: a member notes every 30 s in its folder that it lives; one that has seen nothing for an hour, or comes from the future, is taken for a lost one and catches up before it votes. Where all folders are old, as after a long power cut, all other members together hold whatever was chosen, and that will do. The settings that nothing here reads are named once, in settings_unread.

--- a/benchmarks/_fleet.py
+++ b/benchmarks/_fleet.py
@@ -104,7 +104,7 @@
 
                 config = read_rollout(str(self.folder / f"{name}.yaml"))
                 disk = Disk(str(config.folder), name, config.read_keys()[1])
-                disk.init()
+                disk.init(int(time.time()))
                 disk.close()
 
     # Processes ----------------------------------------------------------------------------------------
--- a/olivecourse/gateway.py
+++ b/olivecourse/gateway.py
@@ -361,6 +361,8 @@
     def run(self) -> None:
         self.log("ready", listen=f"{self.config.listen[0]}:{self.front.port}",
                  stores=sum(1 for c in self.directory.states if self.directory.ready(c)))
+        if self.config.unread:
+            self.log("settings_unread", names=list(self.config.unread))
         gc.collect()
         # Requests make many short-lived objects and no cycles worth a hunt after every 700 of them, which
         # took an eighth of the time.
--- a/olivecourse/rollout/commands.py
+++ b/olivecourse/rollout/commands.py
@@ -127,7 +127,7 @@
         if config is None or config.folder is None:
             raise BadSection(f"{operator}: no rollout section with a folder")
         disk = Disk(str(config.folder), name, config.read_keys()[1])
-        disk.init()
+        disk.init(int(time.time()))
         disk.close()
     except (BadSection, NoFolder) as error:
         click.echo(f"olivecourse: {error}", err=True)
--- a/olivecourse/rollout/part.py
+++ b/olivecourse/rollout/part.py
@@ -33,7 +33,7 @@
 from olivecourse.rollout.register import Step
 from olivecourse.rollout.releases import Heard, Plan, Release, Say, Word
 from olivecourse.rollout.section import PlanText, RolloutConfig
-from olivecourse.rollout.store import Disk, NoFolder, Torn
+from olivecourse.rollout.store import SEEN_S, Disk, NoFolder, Torn
 from olivecourse.rollout.wire import MOST, BadDatagram, Wire
 from olivecourse.told.sections import BadSection
 
@@ -101,7 +101,7 @@
         self._planner: Planner | None = None
         self._leaves = False  # this gateway has its place to be out
         self._left: set[int] = set()  # stores that have theirs, and get nothing from here
-        self._look_at = now
+        self._look_at = self._note_at = now
         self._known: tuple[Any, ...] = ()
         self._ready_since: int | None = None
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -133,7 +133,10 @@
             slots = None
         if slots is None:
             self.host.log("rollout_folder_empty", folder=str(self.config.folder))
-        return disk, slots or {}, slots is not None
+        old = slots is not None and disk.old(time.time_ns() // S)
+        if old:
+            self.host.log("rollout_folder_old", folder=str(self.config.folder))
+        return disk, slots or {}, slots is not None and not old
 
     # Parts' calls -------------------------------------------------------------------------------------
 
@@ -167,6 +170,10 @@
         if now >= self._look_at:
             self._look_at = now + LOOK_NS
             self._see(now)
+        if now >= self._note_at and self._disk is not None and self.member.register.votes:
+            self._note_at = now + SEEN_S * S  # that this member lives: an empty step
+            self._steps.append(Step())
+            self._write()
         self.member.tick(now)
         self.agent.tick(now)
         self._flush()
@@ -287,8 +294,9 @@
         for step in steps:
             durable.update(step.durable)
         disk, whole = self._disk, not self._caught_up and self.member.register.votes
-        job = disk.caught_up if whole else disk.write
-        self._writing = self._worker.submit(lambda: job(durable),
+        job, unix_s = disk.caught_up if whole else disk.write, time.time_ns() // S
+        durable = {**self.member.register.slots, **durable} if whole else durable
+        self._writing = self._worker.submit(lambda: job(durable, unix_s),
                                             lambda _, error: self._written(steps, whole, error))
 
     def _written(self, steps: list[Step], whole: bool, error: Exception | None) -> None:
--- a/olivecourse/rollout/register.py
+++ b/olivecourse/rollout/register.py
@@ -4,7 +4,7 @@
 value, played in two phases under one ballot. Names are the paper's: ballot, prepare, promise, accept. What
 `Step.durable` holds must be on disk before `Step.sends` leaves; a member that cannot promise that does not
 vote. A member that has lost its disk waits until no round of its former life can be open any more, and then
-takes the highest it hears from a majority that it is not part of.
+takes the highest it hears from a majority that it is not part of, or from all others.
 """
 
 from __future__ import annotations
@@ -87,12 +87,14 @@
 
 
 class Recalled(msgspec.Struct, frozen=True, array_like=True):
-    """One register of so many; `total` 0: none is held."""
+    """One register of so many; `total` 0: none is held. `sure`: from a member that votes, and not from one
+    whose folder may be a copy of an older one."""
 
     nonce: int
     total: int
     key: str
     slot: Slot
+    sure: bool = True
 
 
 @dataclass
@@ -139,6 +141,7 @@
         self._seen: dict[str, int] = {}
         self._joins: tuple[int, int, dict[int, dict[str, Slot]], dict[int, int]] | None = None
         self._asked_join = 0
+        self._sure: set[int] = set()  # who votes, of those that answered
 
     @property
     def majority(self) -> int:
@@ -265,7 +268,7 @@
             self._turned_down(said, now)
         elif isinstance(said, Learn):
             self.learn(said)
-        elif isinstance(said, Recall) and self.votes:
+        elif isinstance(said, Recall) and (self.votes or self.slots):
             self._recall(sender, said)
         elif isinstance(said, Recalled):
             self._recalled(sender, said)
@@ -316,17 +319,20 @@
         if not self.slots:
             self._send(sender, Recalled(said.nonce, 0, "", Slot()))
         for key, slot in self.slots.items():
-            self._send(sender, Recalled(said.nonce, len(self.slots), key, slot))
+            self._send(sender, Recalled(said.nonce, len(self.slots), key, slot, self.votes))
 
     def _recalled(self, sender: int, said: Recalled) -> None:
         if self.votes or self._joins is None or said.nonce != self._joins[0]:
             return
         _, _, found, totals = self._joins
         totals[sender] = said.total
+        (self._sure.add if said.sure else self._sure.discard)(sender)
         if said.total:
             found.setdefault(sender, {})[said.key] = said.slot
         whole = [m for m, total in totals.items() if len(found.get(m, {})) >= total]
-        if len(whole) < self.majority:  # without us: one of each majority that we may have been part of
+        # A majority without us has one of each majority that we may have been part of. Where all folders are
+        # old, as after a long power cut, all of the others together hold whatever was chosen.
+        if len(self._sure.intersection(whole)) < self.majority and len(whole) < len(self.members) - 1:
             return
         for slots in found.values():
             for key, slot in slots.items():
--- a/olivecourse/rollout/store.py
+++ b/olivecourse/rollout/store.py
@@ -18,8 +18,10 @@
 from olivecourse.rollout.register import Slot
 
 MAP_BYTES = 16 * 2**20
-MARK = b"member"
+MARK, SEEN = b"member", b"seen"
 FORM = 1
+SEEN_S = 30  # between two notes that this member lives
+OLD_S = 3600  # a folder that has seen nothing for so long may be a copy of an older one
 
 
 class NoFolder(OSError):
@@ -53,13 +55,14 @@
             raise Torn(f"record {name!r}")
         return data[32:]
 
-    def init(self) -> None:
+    def init(self, unix_s: int) -> None:
         """Marks the folder as this member's from the start of the fleet; its records, if any, are dropped."""
         with self._env.begin(write=True) as txn:
             with txn.cursor() as cursor:
                 while cursor.first():
                     cursor.delete()
             txn.put(MARK, self._seal(MARK, msgspec.msgpack.encode(Mark(FORM, self._name))))
+            txn.put(SEEN, self._seal(SEEN, msgspec.msgpack.encode(unix_s)))
         self._env.sync(True)
 
     def load(self) -> dict[str, Slot] | None:
@@ -73,23 +76,35 @@
                 if msgspec.msgpack.decode(self._open(MARK, mark), type=Mark) != Mark(FORM, self._name):
                     raise Torn("the folder is another member's, or of another form")
                 for name, data in txn.cursor():
-                    if name != MARK:
+                    if name not in (MARK, SEEN):
                         found[name[1:].decode()] = msgspec.msgpack.decode(self._open(name, data), type=Slot)
         except (msgspec.MsgspecError, UnicodeDecodeError, lmdb.Error) as error:
             raise Torn(str(error)) from None
         return found
 
-    def write(self, slots: dict[str, Slot]) -> None:
+    def old(self, unix_s: int) -> bool:
+        """Whether the folder has seen nothing for long, or comes from the future: it may be a copy, which has
+        forgotten what was promised since, and its member catches up before it votes."""
+        try:
+            with self._env.begin() as txn:
+                data = txn.get(SEEN)
+                seen = 0 if data is None else msgspec.msgpack.decode(self._open(SEEN, data), type=int)
+        except (msgspec.MsgspecError, Torn, lmdb.Error):
+            return True
+        return not unix_s - OLD_S <= seen <= unix_s + OLD_S
+
+    def write(self, slots: dict[str, Slot], unix_s: int) -> None:
         """Durable on return; raises OSError or lmdb.Error, after which nothing of it may be told."""
         with self._env.begin(write=True) as txn:
+            txn.put(SEEN, self._seal(SEEN, msgspec.msgpack.encode(unix_s)))
             for key, slot in slots.items():
                 name = b"k" + key.encode()
                 txn.put(name, self._seal(name, msgspec.msgpack.encode(slot)))
 
-    def caught_up(self, slots: dict[str, Slot]) -> None:
+    def caught_up(self, slots: dict[str, Slot], unix_s: int) -> None:
         """After a lost disk: all of it at once, with the mark."""
-        self.init()
-        self.write(slots)
+        self.init(unix_s)
+        self.write(slots, unix_s)
 
     def close(self) -> None:
         self._env.close()
--- a/olivecourse/told/config.py
+++ b/olivecourse/told/config.py
@@ -14,7 +14,7 @@
 from olivecourse import interface as w
 from olivecourse.told.address import Address, parse_address
 from olivecourse.told.inventory import BadInventory, read_inventory
-from olivecourse.told.settings import Malformed, check, nested_pairs, read_settings
+from olivecourse.told.settings import Malformed, check, nested_pairs, read_settings, unread
 from olivecourse.told.vocabulary import DOORS
 
 # Sections of an operator's file, and what reads each from the file at a path.
@@ -59,6 +59,7 @@
     signed: Signed | None = None
     inventory: str | None = None
     planner: str | None = None  # the socket of a planner in a process of its own
+    unread: tuple[str, ...] = ()  # paths of the settings that nothing here reads
     sections: Mapping[str, Any] = field(default_factory=dict)  # of an operator's file: see SECTIONS
 
 
@@ -101,7 +102,7 @@
             rev=int(known.get("rev", 0)), notices=list(known.get("notices", ())),
             sockets=int(limits.get("sockets", 1024)), memory_mb=int(limits.get("memory_mb", 192)),
             board=_address(raw, "board"),
-            doors=_doors(raw, env),
+            doors=_doors(raw, env), unread=unread(nested_pairs(nested)),
             tmpdir=env.get("TMPDIR"),
             peer_listen=_address(raw, "peer_listen"),
             peers=[parse_address(p) for p in raw.get("peers", ())], peers_all=_address(raw, "peers_all"))
--- a/olivecourse/told/settings.py
+++ b/olivecourse/told/settings.py
@@ -101,6 +101,21 @@
     return w.Settings(seed=seed, classes=tuple(classes), **_pick(conf, SETTINGS))
 
 
+READ_ELSEWHERE = {"kinds", "profiles.count", "limits.connect_timeout_ns", "limits.conn_idle_ns",
+                  "limits.streams_per_conn"}
+MOST_UNREAD = 40  # names that are told of
+
+
+def unread(pairs: Iterable[str]) -> tuple[str, ...]:
+    """The paths that nothing here reads, a class's under `profiles.*`: kept in the file, without effect."""
+    known = READ_ELSEWHERE | {path for path, _ in (*SETTINGS.values(), *CLASS_LISTS.values())}
+    known |= {f"profiles.*.{path}" for path, _ in CLASS.values()}
+    paths = (pair.partition("=")[0] for pair in pairs)
+    plain = ("profiles.*." + p.split(".", 2)[2] if p.startswith("profiles.") and p.count(".") > 1 else p
+             for p in paths)
+    return tuple(sorted(set(plain) - known))[:MOST_UNREAD]
+
+
 NONE_OF_THE_KIND = ("parent_kind", "origin_kind")  # -1 tells that there is none
 
 
--- a/tests/fleetsim.py
+++ b/tests/fleetsim.py
@@ -65,7 +65,7 @@
         for node in self.nodes:
             self.boot(node, fresh=True)
 
-    def boot(self, node, fresh=False, lost_disk=False, version=None):
+    def boot(self, node, fresh=False, lost_disk=False, version=None, old_disk=False):
         node.life += 1
         node.up, node.stopped, node.drains = True, False, False
         node.version = version or node.version
@@ -78,7 +78,7 @@
                       dict.fromkeys(self.fleet, 1.0), budget, self.gates, self.fences)
         random = Random(self.random.getrandbits(32))
         node.member = Member(setup, node.life, node.version, node.disk, random, self.clock(node),
-                             votes=fresh or not lost_disk)
+                             votes=fresh or not (lost_disk or old_disk))
         node.agent = Agent(node.number, GATES, self.fleet, node.member, random,
                            lambda item: self.go(node, item), lambda item: self.come(node, item),
                            self.clock(node), self.lease_alone)
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -248,6 +248,15 @@
     assert (float(named["app_conf_loaded_total"]), float(named["lb_reloads_total"])) == (2.0, 1.0)
 
 
+def test_settings_that_nothing_reads_are_named_once_and_do_no_harm():
+    odd = SETTINGS | {"extras": {"x_new": [1, {"b": None}]},
+                      "profiles": [p | {"flavour": 1} for p in SETTINGS["profiles"]]}
+    told = read_config({"listen": "127.0.0.1:0", "settings": odd}, {})
+    usual = read_config({"listen": "127.0.0.1:0", "settings": SETTINGS}, {})
+    assert set(told.unread) - set(usual.unread) >= {"profiles.*.flavour"} and told.settings == usual.settings
+    assert any(name.startswith("extras.x_new") for name in told.unread)
+
+
 def test_deployments_that_nobody_has_met_are_served_by_the_rules():
     """Sixteen of the three hundred of `python -m benchmarks deployments`, each with a gateway process."""
     found = run_deployments(short=True, seed=1, trials=16)
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -304,6 +304,24 @@
     assert fleet.nodes[0].disk[STORES].value == fleet.nodes[1].disk[STORES].value
 
 
+def test_folders_a_week_old_at_every_member_are_trusted_together_and_none_of_them_alone():
+    fleet = Fleet(12)
+    fleet.run(1)
+    drain(fleet, 0, 100)
+    fleet.run(2)
+    for node in fleet.nodes:
+        fleet.kill(node)
+    for node in fleet.nodes[1:]:
+        fleet.boot(node, old_disk=True)
+    fleet.run(5)
+    late = drain(fleet, 3, 101)
+    fleet.run(4)
+    assert late.said == "no majority answered" and not any(n.member.register.votes for n in fleet.nodes[1:])
+    fleet.boot(fleet.nodes[0], old_disk=True)
+    fleet.run(6)
+    assert late.stage is At.OUT and set(placed(fleet)) == {100, 101}
+
+
 def test_gates_halt_a_bad_version_at_the_canary_and_a_good_one_rarely():
     rng, halted, at = Random(5), 0, []
     for trial in range(200):
@@ -356,12 +374,13 @@
 def test_a_folder_holds_what_was_promised_and_one_that_does_not_hold_counts_as_empty(tmp_path):
     disk = Disk(str(tmp_path / "a"), "n0", b"k" * 32)
     assert disk.load() is None, "no mark: this member may have promised what nobody remembers"
-    disk.init()
+    disk.init(10_000)
     slots = {"stores:praia": Slot(Ballot(3, 1), Ballot(2, 0), b"value")}
-    disk.write(slots)
+    disk.write(slots, 10_030)
     disk.close()
     again = Disk(str(tmp_path / "a"), "n0", b"k" * 32)
     assert again.load() == slots
+    assert [again.old(s) for s in (10_031, 10_030 + 7 * 86_400, 1)] == [False, True, True]
     again.close()
     for name, key in (("n1", b"k" * 32), ("n0", b"q" * 32)):
         other = Disk(str(tmp_path / "a"), name, key)
