Hold back what rests on a write, and let one process of a gateway vote at a time

Seen by reading: a step without anything to write could overtake one whose write was under way, so that an acknowledgement could count a vote that was not on disk yet; in an upgrade both processes voted from the same folder without knowing of each other's promises.

Change: while a write is under way every later step waits; the folder is locked by the process that votes, and the other asks for it every second.

--- /dev/null
+++ b/benchmarks/_charts.py
@@ -0,0 +1,31 @@
+"""Charts of what a benchmark measured, beside its page under docs/results/."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def rollout(found: dict[str, Any], path: Path = ROOT / "docs" / "results" / "rollout.png") -> None:
+    """Service and reach of a release with agreement and without, and the cost for each gateway."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, (service, reached, cost) = pyplot.subplots(1, 3, figsize=(12, 3.6), layout="constrained")
+    for axis, key, title in ((service, "service_during", "service during a good release"),
+                             (reached, "bad_release_reached", "share that got a bad release")):
+        axis.boxplot([found[key], found[f"{key}_off"]], tick_labels=["agreed", "a script of today"])
+        axis.set_title(title)
+    service.set_ylabel("served / asked")
+    sizes = found["datagrams_a_second"]
+    cost.plot([int(n) for n in sizes], list(sizes.values()), marker="o")
+    cost.set_xscale("log")
+    cost.set_ylim(bottom=0)
+    cost.set_title("idle cost of each gateway")
+    cost.set_xlabel("gateways")
+    cost.set_ylabel("datagrams sent a second")
+    figure.savefig(path, dpi=110)
--- a/benchmarks/rollout.py
+++ b/benchmarks/rollout.py
@@ -16,6 +16,7 @@
 from pathlib import Path
 from typing import Any
 
+from benchmarks import _charts
 from benchmarks._fleet import Fleet
 from olivecourse.emulator.faults import draw
 
@@ -192,9 +193,11 @@
     jobs = [(seed + i, min(each, runs - i), sizes[i // each % 3], True, "majority")
             for i in range(0, runs, each)]
     off = [(seed + 500_000, 2 if short else 20, 5, False, "majority")]
+    planner = [] if short else [(seed + 600_000, 20, 5, True, "planner")]
     with ThreadPoolExecutor(4 if short else 6) as pool:
         rows = [row for found in pool.map(play, jobs) for row in found]
         without = [row for found in pool.map(play, off) for row in found]
+        alone = [row for found in pool.map(play, planner) for row in found]
     played = [row for row in rows if "seed" in row]
     grants = [g for row in played for g in row["grants"]]
     halted = [h for row in played for h in row["halted_s"]]
@@ -205,6 +208,8 @@
         "runs": len(played), "faults": sum(row["faults"] for row in played),
         "over_budget": sum(row["over"] for row in played),
         "over_budget_off": sum(row["over"] for row in without if "seed" in row),
+        "granted": [len(grants), 0 if short else sum(len(r["grants"]) for r in alone if "seed" in r)],
+        "over_budget_planner": None if short else sum(r["over"] for r in alone if "seed" in r),
         "halts": len(halted), "halts_lost": sum(row["halts_lost"] for row in played),
         "unsafe_twice": sum(row["unsafe"] for row in rows if "unsafe" in row),
         "ended": sum(row["ended"] for row in played),
@@ -214,6 +219,7 @@
               "bad_release_reached_off": None}
     if not short:
         found |= longer(seed)
+        _charts.rollout(found)
     return {**found, "seed": seed}
 
 
--- a/olivecourse/rollout/part.py
+++ b/olivecourse/rollout/part.py
@@ -33,12 +33,13 @@
 from olivecourse.rollout.register import Step
 from olivecourse.rollout.releases import Heard, Plan, Release, Say, Word
 from olivecourse.rollout.section import PlanText, RolloutConfig
-from olivecourse.rollout.store import SEEN_S, Disk, NoFolder, Torn
+from olivecourse.rollout.store import SEEN_S, Disk, Held, NoFolder, Torn
 from olivecourse.rollout.wire import MOST, BadDatagram, Wire
 from olivecourse.told.sections import BadSection
 
 MS, S = 1_000_000, 1_000_000_000
 TICK_NS = 20 * MS
+AGAIN_NS = 1 * S  # between two tries to get the folder
 LOOK_NS = 100 * MS  # between two looks at the list and at what has changed
 READS = 256  # datagrams a turn
 MOST_STEPS = 1024  # that wait for the disk; beyond, what would be sent is lost as a datagram may be
@@ -78,11 +79,11 @@
         self.names, self.addresses = names, self.config.addresses()
         self.me = names.index(host.config.name)
         self.key = f"gateways:{section.gateways[self.me].office}"
-        keys, secret = self.config.read_keys()
+        keys, self._secret = self.config.read_keys()
         self.life = time.time_ns() // MS
         self.wire = Wire(self.me, self.life, keys)
         self._random = Random()  # of the system: ballots of two gateways must not collide by a seed
-        self._disk, slots, votes = self._open(secret)
+        self._disk, slots, votes = self._open()
         self._worker = Worker(host.loop, "rollout", most=MOST_STEPS)
         version = section.version or os.environ.get(VERSION, "")
         setup = Setup(self.me, tuple(range(len(names))), tuple(names.index(m) for m in section.members),
@@ -117,12 +118,14 @@
         if (door := host.part(DoorPart)) is not None:
             door.desk.others.append(self.call)
 
-    def _open(self, secret: bytes) -> tuple[Disk | None, dict[str, Any], bool]:
+    def _open(self) -> tuple[Disk | None, dict[str, Any], bool]:
         """The folder, what it holds, and whether this member may vote by it."""
         if self.config.folder is None:
             return None, {}, False
         try:
-            disk = Disk(str(self.config.folder), self.host.config.name, secret)
+            disk = Disk(str(self.config.folder), self.host.config.name, self._secret)
+        except Held:
+            return None, {}, False  # asked again every second: the process before is about to end
         except NoFolder as error:
             self.host.log("rollout_folder_unusable", why=str(error))
             return None, {}, False
@@ -170,15 +173,26 @@
         if now >= self._look_at:
             self._look_at = now + LOOK_NS
             self._see(now)
-        if now >= self._note_at and self._disk is not None and self.member.register.votes:
-            self._note_at = now + SEEN_S * S  # that this member lives: an empty step
-            self._steps.append(Step())
-            self._write()
+        if now >= self._note_at:
+            self._note(now)
         self.member.tick(now)
         self.agent.tick(now)
         self._flush()
         self.host.loop.after(TICK_NS, self._tick)
 
+    def _note(self, now: int) -> None:
+        """That this member lives, by an empty step; without a folder, whether the folder can be had by now."""
+        if self._disk is None and self.config.folder is not None:
+            self._note_at = now + AGAIN_NS
+            self._disk, slots, votes = self._open()
+            if self._disk is not None:
+                self.member.register.rejoin(slots, votes and self.me in self.member.setup.members)
+                self._caught_up = votes
+        elif self._disk is not None and self.member.register.votes:
+            self._note_at = now + SEEN_S * S
+            self._steps.append(Step())
+            self._write()
+
     def _see(self, now: int) -> None:
         """What the list, the operators, the module and the ledger tell."""
         self._see_stores(now)
@@ -279,7 +293,7 @@
         step = self.member.taken()
         if not (step.durable or step.sends or step.done):
             return
-        if self._disk is None or not (step.durable or self._steps):
+        if self._disk is None or not (step.durable or self._steps or self._writing):
             self._carry_out(step)
         elif len(self._steps) < MOST_STEPS:
             self._steps.append(step)
--- a/olivecourse/rollout/register.py
+++ b/olivecourse/rollout/register.py
@@ -303,6 +303,13 @@
             self._waiting[key] = [ask for ask in asks if ask not in late]
             self._start(key, now)
 
+    def rejoin(self, slots: dict[str, Slot], votes: bool) -> None:
+        """A member that did not vote has got its disk: what it holds, and whether it may vote by it now."""
+        self.slots, self.votes = dict(slots), votes
+        for key, slot in slots.items():
+            if slot.value:
+                self.learn(Learn(key, slot.accepted, slot.value))
+
     # A lost disk --------------------------------------------------------------------------------------
 
     def _rejoin(self, now: int) -> None:
--- a/olivecourse/rollout/store.py
+++ b/olivecourse/rollout/store.py
@@ -8,7 +8,9 @@
 
 from __future__ import annotations
 
+import fcntl
 import hmac
+import os
 from pathlib import Path
 
 import lmdb
@@ -28,6 +30,11 @@
     """The folder can't be used: the member asks, and does not vote."""
 
 
+class Held(NoFolder):
+    """Another process of this gateway votes by it, as in an upgrade: two that did would not know of each
+    other's promises."""
+
+
 class Torn(ValueError):
     """A record that does not hold."""
 
@@ -39,11 +46,19 @@
 
 class Disk:
     def __init__(self, folder: str, name: str, secret: bytes) -> None:
-        """Raises NoFolder."""
+        """Raises NoFolder; Held while another process has it."""
         self._name, self._secret = name, secret
         try:
             Path(folder).mkdir(mode=0o700, parents=True, exist_ok=True)
+            self._lock = os.open(Path(folder) / "voter.lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+            try:
+                fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            except OSError:
+                os.close(self._lock)
+                raise Held(f"{folder}: another process has it") from None
             self._env = lmdb.open(folder, map_size=MAP_BYTES, max_dbs=0, mode=0o600, metasync=True, sync=True)
+        except NoFolder:
+            raise
         except (OSError, lmdb.Error) as error:
             raise NoFolder(f"{folder}: {error}") from None
 
@@ -108,3 +123,4 @@
 
     def close(self) -> None:
         self._env.close()
+        os.close(self._lock)
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -22,7 +22,7 @@
 from olivecourse.rollout.register import Ballot, Slot
 from olivecourse.rollout.releases import Plan, State, Word, flaws
 from olivecourse.rollout.section import read_rollout
-from olivecourse.rollout.store import Disk, Torn
+from olivecourse.rollout.store import Disk, Held, Torn
 from olivecourse.rollout.wire import MOST, BadDatagram, Keys, Wire
 from olivecourse.told.sections import BadSection
 
@@ -379,6 +379,8 @@
     disk.write(slots, 10_030)
     disk.close()
     again = Disk(str(tmp_path / "a"), "n0", b"k" * 32)
+    with pytest.raises(Held):
+        Disk(str(tmp_path / "a"), "n0", b"k" * 32)  # the other process of an upgrade
     assert again.load() == slots
     assert [again.old(s) for s in (10_031, 10_030 + 7 * 86_400, 1)] == [False, True, True]
     again.close()
