--- a/olivecourse/rollout/part.py
+++ b/olivecourse/rollout/part.py
@@ -181,7 +181,7 @@
         self.host.loop.after(TICK_NS, self._tick)
 
     def _note(self, now: int) -> None:
-        """That this member lives, by an empty step; without a folder, whether the folder can be had by now."""
+        """That this member lives, by an empty step; without its folder, whether that can be had by now."""
         if self._disk is None and self.config.folder is not None:
             self._note_at = now + AGAIN_NS
             self._disk, slots, votes = self._open()
