--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -1,6 +1,7 @@
 """Drains and releases agreed across the fleet: the hard cases on a virtual network, then real processes."""
 
 import json
+import os
 import subprocess
 import sys
 from random import Random
@@ -11,6 +12,7 @@
 from hypothesis import strategies as st
 from stage import Stage
 
+from benchmarks._fleet import Fleet as Processes
 from benchmarks.rollout import play as play_processes
 from olivecourse.modelcheck.explorer import explore
 from olivecourse.modelcheck.places import FAULTS, NARROW, Model, hunt
@@ -435,3 +437,46 @@
     assert with_it[-1] == {"unsafe": 0}
     without = play_processes((500_001, 1, 3, False, "majority"))
     assert without[0]["over"] > 0, "the same staff, each told yes by whom they ask"
+
+
+def test_operators_drain_and_release_on_the_command_line_as_their_page_tells(tmp_path):
+    fleet = Processes(tmp_path, count=2, members=1, stores=3, budget=1)
+
+    def cli(*words):
+        door = f"127.0.0.1:{fleet.doors['n1']}"
+        done = subprocess.Popen([sys.executable, "-m", "olivecourse", *words], text=True,
+                                stdout=subprocess.PIPE, stderr=subprocess.STDOUT,
+                                env={**os.environ, "EDGE_ADMIN": door})
+        assert fleet.until(lambda: done.poll() is not None, 20)
+        return done.returncode, done.stdout.read()
+
+    try:
+        assert fleet.ready()
+        code, said = cli("drain", "box-00", "--wait", "5")
+        assert code == 0 and said.endswith("box-00 is out\n")
+        code, said = cli("drain", "box-01", "--wait", "1")
+        assert code == 1 and "1 of 1 out already" in said
+        assert cli("drain", "box-99")[0] == 1
+        status = json.loads(cli("rollout", "status", "--json")[1])
+        group = status["groups"]["stores:praia"]
+        assert [p["item"] for p in group["places"]] == ["box-00"]
+        assert [x["item"] for x in group["waiting"]] == ["box-01"]
+        assert "box-00" in cli("rollout", "status")[1]
+        assert cli("undrain", "box-00")[0] == 0 and cli("undrain", "box-01")[0] == 0
+        assert fleet.until(lambda: not fleet.status("n0")["groups"]["stores:praia"]["places"], 5)
+        plan = tmp_path / "release.yaml"
+        plan.write_text("release:\n  version: v2\n  before: v1\n  waves: [50]\n")
+        code, said = cli("rollout", "plan", str(plan))
+        assert code == 2 and "release.yaml:1" in said and "100" in said
+        plan.write_text("release:\n  version: v2\n  before: v1\n")
+        assert cli("rollout", "plan", str(plan)) == (0, "plan: done, term 1\n")
+        assert cli("rollout", "halt", "--why", "x")[0] == 0
+        code, said = cli("rollout", "start")
+        assert code == 1 and "it is halted" in said
+        fleet.end("n0")
+        assert cli("rollout", "resume")[0] == 1, "the one member is gone"
+        log = tmp_path / "log"
+        log.write_text("\n".join(map(json.dumps, fleet.running["n1"].lines)))
+        assert "release state=halted" in cli("rollout", "explain", str(log))[1]
+    finally:
+        fleet.close()
