Count what has come back as cold until every voter has seen it back for as long

Cause: a place is given back when the voters see its store warm, and voters that had just been killed and started knew the list of before, without the store's restart; it was still cold. Ruled out: a place granted twice (the tables at all three were one).

Change: a voter counts what is asked again as out until it has itself known that for the longest time that a store is cold.

--- a/olivecourse/rollout/member.py
+++ b/olivecourse/rollout/member.py
@@ -86,11 +86,12 @@
 
 @dataclass
 class World:
-    """Groups of stores as the list tells them, and whom this gateway takes to be out of each, whatever the
-    reason but a place."""
+    """Groups of stores as the list tells them, whom this gateway takes to be out of each, whatever the reason
+    but a place, and how long one of them is cold at most."""
 
     groups: dict[str, Group] = field(default_factory=dict)
     out: dict[str, set[int]] = field(default_factory=dict)
+    cold_ns: dict[str, int] = field(default_factory=dict)
 
 
 class Member:
@@ -103,6 +104,7 @@
         self.service, self.ended, self.bad = Service.COLD, 0, 0
         self.register = Register(setup.me, setup.members, slots, self._judge, random, self._fenced, self._out,
                                  votes and setup.me in setup.members)
+        self._back: dict[tuple[str, int, int], int] = {}  # key, item, token: since when it is asked again
         self.held = 0  # the term under which a halt was heard of
         self._now = now
         self._asks: dict[int, Open] = {}
@@ -152,7 +154,17 @@
     def out(self, key: str) -> set[int]:
         """Whom we take to be out, whatever the reason but a place."""
         own = (n for n, office in self.setup.offices.items() if office == key)
-        return set(self.world.out.get(key, ())) | {n for n in own if self.hearing.away(n, self._now)}
+        out = set(self.world.out.get(key, ())) | {n for n in own if self.hearing.away(n, self._now)}
+        return out | self._cooling(key)
+
+    def _cooling(self, key: str) -> set[int]:
+        """What has come back and may be cold: the list may tell of its start after its holder did, and a
+        voter that has just started knows nothing of before. Each counts from when it heard of it."""
+        cold = self.world.cold_ns.get(key, 0)
+        back = {(key, p.item, p.token) for p in self.table(key).places if p.phase is places.Phase.BACK}
+        for gone in [known for known in self._back if known[0] == key and known not in back]:
+            del self._back[gone]
+        return {known[1] for known in back if self._now - self._back.setdefault(known, self._now) < cold}
 
     def _out(self, key: str) -> tuple[int, ...]:
         """For a vote: those with a place are counted anyway, and go last where not all find room."""
--- a/olivecourse/rollout/part.py
+++ b/olivecourse/rollout/part.py
@@ -227,6 +227,8 @@
                     host.directory.out or store.cache in avoided and not left):
                 out.setdefault(key, set()).add(store.cache)
         self.member.world.out = out
+        self.member.world.cold_ns = {
+            key: settings.parent_cold_ns if key.startswith("hubs") else settings.cold_ns for key in capacity}
         self.member.world.groups = {
             key: Group(key, found, (limits.hubs if key.startswith("hubs") else limits.stores).budget())
             for key, found in capacity.items()}
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -306,6 +306,21 @@
     assert fleet.nodes[0].disk[STORES].value == fleet.nodes[1].disk[STORES].value
 
 
+def test_a_store_whose_restart_nobody_has_heard_of_yet_keeps_its_place_for_as_long_as_one_is_cold():
+    """Seen with real processes: voters that had just started knew of no restart, and gave the place back."""
+    fleet = Fleet(13)
+    for node in fleet.nodes:
+        node.member.world.cold_ns[STORES] = 2 * S
+    fleet.run(1)
+    work = drain(fleet, 4, 100)
+    fleet.run(3, lambda: work.stage is At.OUT)
+    give(fleet, 4, 100)
+    fleet.run(1.5)
+    assert 100 in placed(fleet)
+    fleet.run(2)
+    assert 100 not in placed(fleet)
+
+
 def test_folders_a_week_old_at_every_member_are_trusted_together_and_none_of_them_alone():
     fleet = Fleet(12)
     fleet.run(1)
