--- a/benchmarks/_fleet.py
+++ b/benchmarks/_fleet.py
@@ -247,11 +247,11 @@
         self.world.at(time.monotonic() + 0.8, lambda: self._check(name, box))
 
     def _check(self, name: str, box: str) -> None:
-        found = next((s for n in self.names if (s := self.status(n))), None)
-        places = found["groups"].get(OFFICE, {}).get("places", ()) if found else ()
-        if found is None or any(p["item"] == box and p["phase"] != "back" for p in places):
-            if self.sampling:
-                self._back(name, box)
+        found = [s for n in self.names if (s := self.status(n))]  # one that has just started knows nothing
+        left = any(p["item"] == box and p["phase"] != "back" for s in found
+                   for p in s["groups"].get(OFFICE, {}).get("places", ()))
+        if self.sampling and (left or not found):
+            self._back(name, box)
 
     def staff(self, name: str, box: str, seconds: float) -> None:
         """An operator who wants a store out, waits at that gateway's door and works on it once it is out; who
