Send nothing for clients who have gone, and close, stop and start without lost moments

Now all that has come is read first (POLLRDHUP where it does not fit). - net/stores.py pump: an attempt that waited for its connection left before the client's close of the same turn was read, and without any look where the process had been held up since its select. Now sends wait for the turn's handlers, and each looks at its client's socket first. What the system takes no byte of goes back to the queue (Stream.offer). - core/ledger.py may_go: a repeat decided on within the window (deduplicated) that waited for a connection left after it. - fronts/listener.py: idle clients were closed without a last look, over unread bytes: a reset. Now a look, our end, and a lingering close; what is read after our end goes nowhere. - gateway.py: a client that came in the last turn of a stop was cut off; one that came after the last answers was taken. - cli.py, deploy: SIGHUP during the start was lost, or ended the interpreter; SIGHUP with SIGTERM was passed over. - told/notices.py: `up_since_ms: Infinity` raised OverflowError past BadNotice and took all later events of the answer along. - net/loop.py, wheel.py: an exception in one handler, timer or action ended the process. Now told as `loop_fault`. - listener._accept: out of descriptors it span; now it pauses, and connects to stores and board may close an idle client. - one connection's flood (300 frames) took a whole turn; now 64 frames a turn. A first poll that hangs: 0.7 s, not 2.2 s. - logs.py: a full pipe on standard error stopped the loop. - an order was sent on a connection whose end had come but not been read: it could have been sent elsewhere. - attempts behind a late connection (1 to 1.5 s) now take another of that store that has become free. Ruled out: places of classes at reloads (merge keeps them; retired ones are never given to another name), answers after their time (ids differ, and no id goes twice on one connection), `move` with an answer in the parser (asked anew).

--- a/olivecourse/cli.py
+++ b/olivecourse/cli.py
@@ -8,6 +8,7 @@
 import socket
 import sys
 import time
+from contextlib import suppress
 from dataclasses import replace
 from importlib import import_module, metadata
 
@@ -27,6 +28,29 @@
         sys.exit(2)
 
 
+class Signals:
+    """SIGTERM, SIGINT and SIGHUP, noted as they come: a handler that did more could run in the midst of a
+    decision. `woken` is readable once there are some."""
+
+    def __init__(self) -> None:
+        self._came: set[int] = set()
+        self._waker, self.woken = socket.socketpair()
+        self._waker.setblocking(False)
+        self.woken.setblocking(False)
+        # Full, it has woken the loop already: which signals came is told by the set alone.
+        signal.set_wakeup_fd(self._waker.fileno(), warn_on_full_buffer=False)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(number, lambda came, frame: self._came.add(came))
+
+    def take(self) -> set[int]:
+        """The numbers of those that came since the last call, each once."""
+        with suppress(BlockingIOError):
+            while self.woken.recv(4096):
+                pass
+        came, self._came = self._came, set()
+        return came
+
+
 class Lazy(click.Group):
     """Finds operators' commands only when they are called: their libraries are not for a gateway's start."""
 
@@ -64,7 +88,8 @@
               help="gateway: both in one process; the others need `planner` in the operator's file.")
 def serve(path: str | None = None, operator: str | None = None, role: str = "gateway") -> None:
     """Run one gateway, or one of its two halves, until SIGTERM; SIGHUP reads the configuration again."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # which would end a program that does not serve yet
+    # From the first moment: a signal that comes while this process starts must neither end it nor be lost.
+    signals = Signals()
     config = _load(path, operator)
     logs.set_up()
     from olivecourse.gateway import Gateway  # only here: the other commands start faster without it
@@ -81,20 +106,13 @@
     except (OSError, ValueError) as error:
         click.echo(f"olivecourse: cannot start: {error}", err=True)
         sys.exit(2)
-    # The signal only wakes the loop: a handler that did more could run in the midst of a decision.
-    waker, woken = socket.socketpair()
-    waker.setblocking(False)
-    woken.setblocking(False)
-    signal.set_wakeup_fd(waker.fileno(), warn_on_full_buffer=False)
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-        signal.signal(number, lambda *_: None)
 
     def wake(mask: int) -> None:
-        came = woken.recv(64)  # a byte for each signal: its number
-        if signal.SIGTERM in came or signal.SIGINT in came:
-            gateway.stop()
-        elif signal.SIGHUP in came:
+        came = signals.take()
+        if signal.SIGHUP in came:  # also before the end, which may take seconds in which drains are told
             reload()
+        if came & {signal.SIGTERM, signal.SIGINT}:
+            gateway.stop()
 
     def reload() -> None:
         """Reads the files again with the code of the start; whatever is wrong with them changes nothing."""
@@ -106,7 +124,7 @@
                 gateway.conf_invalid += 1
             log("reload_refused", why=str(error))
 
-    gateway.loop.watch(woken, 1, wake)
+    gateway.loop.watch(signals.woken, 1, wake)
     gateway.run()
 
 
--- a/olivecourse/core/ledger.py
+++ b/olivecourse/core/ledger.py
@@ -15,6 +15,7 @@
 MS = 1_000_000
 KEEP_NS = 2_000 * MS  # how long the number of a closed request's attempts is kept for late actions
 STRICTEST = (w.Effect.AT_MOST_ONCE, w.Effect.DEDUPLICATED, w.Effect.IDEMPOTENT)
+WINDOW_MARGIN_NS = 2 * MS  # the send itself, and the wheel's tick
 GUARD_NS = 4 * MS  # after the Router's own last moment, and still before the client's
 
 
@@ -37,6 +38,10 @@
 
     def failed(self, late: bool) -> None: ...
 
+    def look(self) -> None:
+        """Reads what the client has sent meanwhile: one that has gone tells `Ledger.leave`."""
+        ...
+
 
 class Carrier(Protocol):
     """What brings attempts to stores."""
@@ -51,7 +56,7 @@
 
 
 class Crowded(Exception):
-    """More open requests than the gateway has memory for."""
+    """More open requests than the gateway has memory for, or no time left to answer one."""
 
 
 @dataclass(eq=False)
@@ -68,6 +73,7 @@
     out: dict[int, Attempt] = field(default_factory=dict)
     asked_on: list[Any] = field(default_factory=list)  # the carrier's connections that know this id
     maybe_ran: bool = False
+    first_at: int = 0  # when the first attempt that may have run was decided on; 0 while there is none
     closed: bool = False
     guard: Cancellable | None = None
 
@@ -98,6 +104,7 @@
         self.entries: dict[str, Entry] = {}
         self.open = 0
         self.carrier: Carrier | None = None
+        self.closing = False  # the end is near: nothing is taken any more
         self.purged: dict[str | int, int] = {}  # when this gateway was told, for the check before a send
         self.taken = self.left = 0  # requests taken; those whose client stopped waiting
         self.late = 0  # served, and later than wanted
@@ -127,7 +134,7 @@
         """From here on the request is owed one final answer. `key` is the client's idempotency key."""
         if ask.request in self.entries:
             raise Duplicate(ask.request)
-        if self.open >= self._most:
+        if self.open >= self._most or self.closing:
             raise Crowded(str(self.open))
         cls = self._settings.classes[ask.cls]
         budget = cls.deadline_ns if ask.budget_ns is None else ask.budget_ns
@@ -215,7 +222,31 @@
         ask = attempt.entry.ask
         told = max(self.purged.get(k, -1) for k in (ask.object or "", -1 if ask.group is None else ask.group))
         return (not attempt.ended and not attempt.entry.closed and attempt.deadline > self._timers.now()
-                and told <= attempt.sent_at)
+                and told <= attempt.sent_at and self._in_window(attempt))
+
+    def goes(self, attempt: Attempt) -> None:
+        """The carrier is about to hand the first byte of it to the system."""
+        attempt.went = True
+        attempt.entry.first_at = attempt.entry.first_at or attempt.sent_at
+
+    def never_went(self, attempt: Attempt) -> None:
+        """After all the system took not a byte of it."""
+        attempt.went = False
+        self._first_again(attempt.entry)
+
+    def _first_again(self, entry: Entry) -> None:
+        if not entry.maybe_ran and not any(a.went for a in entry.out.values()):
+            entry.first_at = 0
+
+    def _in_window(self, attempt: Attempt) -> bool:
+        """Whether stores still know the first attempt of what they run only once. Guards against a repeat
+        that was decided on in time and then waited for a connection until the window for repeats was over."""
+        entry, now = attempt.entry, self._timers.now()
+        if not entry.first_at or self._effect(entry) is not w.Effect.DEDUPLICATED:
+            return True
+        windows = [c.key_memory_ns for c in (entry.cls, self._settings.classes[entry.ask.cls])
+                   if c.effect is w.Effect.DEDUPLICATED]
+        return now < entry.first_at + min(windows) - WINDOW_MARGIN_NS
 
     def purge(self, news: w.Purged) -> None:
         key = news.group if news.object is None else news.object
@@ -237,6 +268,8 @@
         entry = attempt.entry
         entry.out.pop(attempt.number, None)
         entry.maybe_ran |= not status.never_ran
+        if status.never_ran:
+            self._first_again(entry)
         if status is w.Status.SERVED and not entry.closed:
             self.outcomes[entry.ask.cls][0] += 1
             self.late += self._timers.now() > entry.wanted
--- a/olivecourse/fronts/listener.py
+++ b/olivecourse/fronts/listener.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import errno
 import ipaddress
+import select
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -11,7 +13,8 @@
 
 from olivecourse import interface as w
 from olivecourse.net.loop import READ, Loop
-from olivecourse.net.stream import Stream, listen
+from olivecourse.net.ringbuf import ROOMY
+from olivecourse.net.stream import READS, Stream, listen
 from olivecourse.told.address import Address
 
 MS = 1_000_000
@@ -20,6 +23,15 @@
 PART_NS, PART_MOST_NS = 2_300 * MS, 6_000 * MS  # for the rest of one begun: with nothing open, and at all
 IDLE_NS = 5_000 * MS  # between two requests; well-behaved clients leave after 4 s
 YOUNG_NS = 100 * MS  # a connection so new may still be about to ask
+LINGER_NS = 500 * MS  # lingering close: for a client to see our end and close its own
+AGAIN_NS = 50 * MS  # until the next try to accept, where no descriptor could be had for a newcomer
+
+
+def hung_up(sock: socket.socket) -> bool:
+    """Whether the other side has ended, however much that it wrote before is still unread."""
+    look = select.poll()
+    look.register(sock, select.POLLRDHUP)
+    return bool(look.poll(0))
 
 
 class Taker(Protocol):
@@ -70,6 +82,7 @@
         self.answered = False
         self.taken = 0  # requests that could be read
         self._who: int | None = None
+        self.lingers = False  # our side has ended; whatever still comes is read and dropped
         super().__init__(front.loop, sock, most_in, most_out)
 
     def load(self) -> int:
@@ -89,6 +102,72 @@
         self.answered = True
         super().write(data)
 
+    def read(self) -> None:
+        """Takes in all that has come before any of it is used: of a client that asks and goes, nothing is."""
+        if self.lingers:
+            self._drop()
+            return
+        more = True
+        for _ in range(READS):
+            if len(self.inbox) >= self.inbox.limit:
+                more = not hung_up(self.sock)  # the end may lie behind what there is no room for now
+                break
+            try:
+                got = self.inbox.receive(self.sock)
+            except (BlockingIOError, InterruptedError):
+                break
+            except OSError as error:
+                self.close(errno.errorcode.get(error.errno or 0, "error"))
+                return
+            if not got:
+                more = False
+                break
+        if not more:
+            self.close("closed by the other side")
+        elif len(self.inbox):
+            self.use()
+
+    def use(self) -> None:
+        """Hands what has come to `received`, and closes where that leaves a full buffer as it was."""
+        self.received()
+        if self.open and len(self.inbox) >= self.inbox.limit:
+            self.close(f"{len(self.inbox)} bytes that nobody could use")
+
+    def linger(self, why: str) -> None:
+        """Ends our side and waits a little for the client to end its own: lingering close, RFC 9112, 9.6.
+
+        Guards against a reset, which a close over unread bytes is, and which may take the last answer along.
+        What is read from here on was written across our end: the client sends it again, so it must not go on.
+        """
+        if not self.open or self.lingers:
+            return
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:  # it has gone already
+            self.close(why)
+            return
+        self.lingers = True
+        self.owner.lingering(self)
+        self.loop.after(LINGER_NS, lambda: self.close(why))
+
+    def _drop(self) -> None:
+        for _ in range(READS):
+            try:
+                if not self.sock.recv(ROOMY):
+                    self.close("closed by the other side")
+                    return
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as error:
+                self.close(errno.errorcode.get(error.errno or 0, "error"))
+                return
+
+    def resting(self) -> bool:
+        """Whether nothing is owed here and nothing has begun to arrive, after a last look."""
+        if self.open and not self.lingers:
+            self.read()
+        return self.open and not self.lingers and not self.load() and not len(self.outbox) and not self.begun
+
     def settle(self) -> None:
         self.owner.place(self)
 
@@ -118,7 +197,8 @@
         self._sock = listen(address, shared) if sock is None else sock
         self._sock.setblocking(False)
         self.port: int = self._sock.getsockname()[1]
-        self._closed = False
+        self._closed = self._paused = False
+        self._lingering: dict[Client, None] = {}  # the longest first
         self.draining = False  # clients are to go elsewhere: each is closed once nothing is open on it
         self.names = False  # whether requests are to tell who asks
         loop.watch(self._sock, READ, self._accept)
@@ -133,12 +213,15 @@
                 sock, _ = self._sock.accept()
             except (BlockingIOError, InterruptedError):
                 return
-            except OSError as error:  # out of descriptors, or the client left before we came
+            except ConnectionError:  # the client left before we came
+                continue
+            except OSError as error:  # out of descriptors
                 self.log("accept_failed", why=str(error))
-                if not self._make_room():
+                if not self.make_room():
+                    self._pause()
                     return
                 continue
-            if len(self.clients) >= self._most and not self._make_room():
+            if len(self.clients) >= self._most and not self.make_room():
                 self.log("too_many_clients", clients=len(self.clients))
                 sock.close()
                 continue
@@ -148,6 +231,18 @@
             self.clients.add(client)
             self.place(client)
 
+    def _pause(self) -> None:
+        """Leaves newcomers with the system for a moment. Guards against a loop that does nothing but fail to
+        accept them, while what would free a descriptor waits."""
+        self.loop.forget(self._sock)
+        self._paused = True
+        self.loop.after(AGAIN_NS, self._resume)
+
+    def _resume(self) -> None:
+        if self._paused and self._sock.fileno() >= 0:
+            self._paused = False
+            self.loop.watch(self._sock, READ, self._accept)
+
     def fileno(self) -> int:
         """Of the listening socket, for another process that is to accept here too; -1 once it is closed."""
         return self._sock.fileno()
@@ -155,13 +250,15 @@
     def limit(self, most: int, unread: int) -> None:
         """New limits on clients and on bytes of unread answers; who is idle and over them leaves now."""
         self._most, self._unread = most, unread
-        while len(self.clients) > most and self._make_room():
+        while len(self.clients) > most and self.make_room():
             pass
 
     def no_more(self) -> None:
         """Stops accepting. Where another process accepts on the same socket, nobody is turned away."""
         if self._sock.fileno() >= 0:
-            self.loop.forget(self._sock)
+            if not self._paused:
+                self.loop.forget(self._sock)
+            self._paused = False
             self._sock.close()
 
     def drain(self, draining: bool) -> None:
@@ -173,15 +270,13 @@
                 self._let_go(client)
 
     def _let_go(self, client: Client) -> None:
-        if self.draining and client.open:
-            client.read()  # its request may have come already
-            if client.open and not client.load() and not len(client.outbox) and not client.begun:
-                client.close("draining")
+        if self.draining and client.resting():
+            client.linger("draining")
 
     def place(self, client: Client) -> None:
         """Files a client by what is open on it."""
         self._lift(client)
-        if client.open and not client.load():
+        if client.open and not client.lingers and not client.load():
             if self.draining:
                 self.loop.after(0, lambda: self._let_go(client))
             if client.answered:
@@ -196,19 +291,27 @@
         self._once.pop(client, None)
         self._idle.pop(client, None)
 
+    def lingering(self, client: Client) -> None:
+        self._lift(client)
+        self._lingering[client] = None
+
     def left(self, client: Client) -> None:
         self._lift(client)
+        self._lingering.pop(client, None)
         self.clients.discard(client)
 
-    def _make_room(self) -> bool:
-        """Closes one that never asked, else the longest idle one; whether there was one to close."""
+    def make_room(self) -> bool:
+        """Closes one that has been told of its end, or never asked, else the longest idle one; whether there
+        was one to close."""
+        for client in self._lingering:
+            client.close("room for another")
+            return True
         old = self.loop.clock.now() - YOUNG_NS
         for groups, before in (((self._fresh, self._once, self._idle), old),
                                ((self._once, self._idle, self._fresh), old + YOUNG_NS)):
             for group in groups:
                 for client in list(islice((c for c, since in group.items() if since <= before), 8)):
-                    client.read()  # its request may have come already: then it is not the one
-                    if client.open and not client.load():
+                    if client.resting():  # else its request has come already, and it is not the one
                         client.close("room for another")
                     if not client.open:
                         return True
@@ -222,12 +325,15 @@
         for client in list(self.clients):
             part = now - client.begun if client.begun else 0
             unread += len(client.outbox)
-            if client in self._fresh and now - client.since > FIRST_NS:
-                client.close("never asked")
-            elif part > (PART_MOST_NS if client.load() else PART_NS):
+            if client.lingers:
+                continue
+            if part > (PART_MOST_NS if client.load() else PART_NS):
                 client.close("never finished asking")
-            elif now - self._idle.get(client, self._once.get(client, now)) > IDLE_NS:
-                client.close("idle")
+            elif client in self._fresh and now - client.since > FIRST_NS:
+                if client.resting():
+                    client.linger("never asked")
+            elif now - self._idle.get(client, self._once.get(client, now)) > IDLE_NS and client.resting():
+                client.linger("idle")
         while unread > self._unread:  # answers that nobody reads must not take the memory of the others
             worst = max(self.clients, key=lambda c: len(c.outbox))
             unread -= len(worst.outbox)
@@ -239,6 +345,14 @@
         """Whether every answer has left."""
         return not any(len(c.outbox) for c in self.clients)
 
+    def retire(self) -> None:
+        """The process is about to end: newcomers that the system holds are let in, no more come, and every
+        client is told of our end as soon as nothing is open on it."""
+        if not self._closed and not self._paused and self._sock.fileno() >= 0:
+            self._accept(READ)
+        self.no_more()
+        self.drain(True)
+
     def close(self) -> None:
         self._closed = True
         self.no_more()
--- a/olivecourse/fronts/signed.py
+++ b/olivecourse/fronts/signed.py
@@ -62,6 +62,10 @@
     def failed(self, late: bool) -> None:
         self._client.answer(504 if late else 502, b"", [], self._keep)
 
+    def look(self) -> None:
+        if self._client.open:
+            self._client.read()
+
 
 class SignedClient(Client):
     def __init__(self, front: SignedFront, sock: socket.socket) -> None:
@@ -193,7 +197,7 @@
         if self.open and len(self.outbox):
             self.loop.after(20 * MS, self._close_when_sent)
         else:
-            self.close("answered")
+            self.linger("answered")
 
     def closed(self, why: str) -> None:
         super().closed(why)
--- a/olivecourse/fronts/thrift.py
+++ b/olivecourse/fronts/thrift.py
@@ -34,6 +34,7 @@
 MS = 1_000_000
 MOST_WRITE = 48_000
 MOST_OPEN = 32
+MOST_FRAMES = 2 * MOST_OPEN  # of one client in one go: a flood on one connection must not hold up the others
 MOST_OUT = 8 * 2**20  # 32 of the largest answers, unread
 # What a busy gateway took for its last turn comes off besides: the request waited for so long unread.
 WAY_NS = 15 * MS  # a client's patience runs from when it sent; its request takes up to this to arrive
@@ -103,6 +104,10 @@
     def failed(self, late: bool) -> None:
         self._send(refusal_frame(self._number, False, {}))
 
+    def look(self) -> None:
+        if self._client.open and self._client.heir is None:
+            self._client.read()
+
     def _send(self, frame: bytes) -> None:
         client = self._client
         client.asked.pop(self._number, None)
@@ -122,6 +127,7 @@
         self.heir: Heir | None = None  # the process that has the connection now
         self.elder: Heir | None = None  # the process that had it, and owes answers to these numbers
         self.foreign: set[int] = set()
+        self.waits = False  # whole frames are left for the next turn
         super().__init__(front, sock, MOST_FRAME + 4, MOST_OUT)
 
     def load(self) -> int:
@@ -150,7 +156,7 @@
             except BufferFull as full:  # of a process with other limits
                 self.close(str(full))
                 return
-            self.received()
+            self.read()  # the client may have left on the way
         if self.open:
             self.settle()
 
@@ -187,6 +193,19 @@
     def received(self) -> None:
         whole = self._frames()
         self.begun = 0 if not len(self.inbox) else self.begun if self.begun and not whole else self._now()
+        if whole >= MOST_FRAMES and self.open and len(self.inbox):
+            self.waits = True
+            self.loop.next_turn(self._go_on)
+
+    def use(self) -> None:
+        if not self.waits:
+            super().use()
+
+    def _go_on(self) -> None:
+        """The frames that one turn left: first a look whether the client is still there."""
+        self.waits = False
+        if self.open and not self.lingers:
+            self.read()
 
     def _now(self) -> int:
         return self.loop.clock.now()
@@ -194,7 +213,7 @@
     def _frames(self) -> int:
         """Takes all whole frames, and counts them."""
         whole = 0
-        while self.open and len(self.inbox) >= 4:
+        while self.open and whole < MOST_FRAMES and len(self.inbox) >= 4:
             size = int.from_bytes(self.inbox.peek(4), "big")
             if size > MOST_FRAME:
                 self._bad(f"frame of {size} bytes")
--- a/olivecourse/gateway.py
+++ b/olivecourse/gateway.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import gc
+import resource
 from collections.abc import Callable
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any, TypeVar
@@ -37,6 +38,7 @@
 LINGER_NS = 900 * MS  # after SIGTERM clients keep coming for 0.6 s; 0.7 s at least are asked for
 LONGEST_NS = 3_000 * MS  # what of the longest deadline counts before SIGKILL may come, plus 0.7 s
 RETIRED_NS = 1_000 * MS  # a class no longer told is still taken for so long: requests are on their way
+CLOSE_NS = 250 * MS  # at the end, for clients to see it and close their side
 STOP_MARGIN_NS = 500 * MS  # the last answers are out this long before SIGKILL may come
 
 
@@ -58,6 +60,7 @@
         self.config, self.log = config, log
         self.loop = loop = Loop()
         loop.stalled = self._stalled
+        loop.faulted = self._faulted
         self.batch: list[w.Event] = []
         self.stopping = False
         self._merged: Merged | None = None  # the last reload's settings
@@ -68,7 +71,9 @@
         self.conf_loaded, self.conf_invalid = 1, 0
         self.ledger = Ledger(s, LoopTimers(loop), self.batch.append, log, most=4096)
         self.purges: dict[str | int, int] = {}
-        room = split(config.sockets, len(config.doors))
+        # The system's own limit binds too, whatever the configuration says.
+        self.sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        room = split(self.sockets, len(config.doors))
         limits = Limits(per_store=room.per_store, total=room.stores, **self._reach())
         self.pool = Pool(loop, self.directory, self.ledger, limits, [c.name for c in s.classes],
                          s.report_fields, log)
@@ -93,6 +98,7 @@
         self.spent: DurableSpent | None = None
         self.front: Listener = self._front()
         self.fronts.append(self.front)
+        loop.short = self.front.make_room
         self.front.draining = not self.takes_work()  # told to the process before, in an upgrade
         for part in self.parts:
             part.start(self.front)
@@ -105,15 +111,19 @@
         """Much CPU: our own work took so long. Little: the process was not let run."""
         self.log("loop_stalled", ms=wall_ns // MS, cpu_ms=cpu_ns // MS)
 
+    def _faulted(self, where: str, error: Exception) -> None:
+        """A fault of ours: what it was about is lost, and answered by the guards; all else goes on."""
+        self.log("loop_fault", where=where, error=repr(error))
+
     def _room(self, sockets: int) -> tuple[int, int]:
         """Clients, and bytes of their unread answers, with so many of the descriptors for this process."""
         config = self.config
-        unread = config.memory_mb * 2**20 // 8 * sockets // max(config.sockets, 1)
+        unread = config.memory_mb * 2**20 // 8 * sockets // max(self.sockets, 1)
         return split(sockets, len(config.doors)).clients, unread
 
     def share(self, shared: bool) -> None:
         """Another process of this gateway lives, or no longer: both together keep within one's limits."""
-        sockets = self.config.sockets // 2 if shared else self.config.sockets
+        sockets = self.sockets // 2 if shared else self.sockets
         room = split(sockets, len(self.config.doors))
         self.pool.limits = replace(self.pool.limits, per_store=room.per_store, total=room.stores)
         self.front.limit(*self._room(sockets))
@@ -122,7 +132,7 @@
         config, s = self.config, self.config.settings
         classes = {c.name: (i, c.write) for i, c in enumerate(s.classes)}
         wait = s.max_retry_after_ns if s.retry_after else 0
-        most, unread = self._room(config.sockets)
+        most, unread = self._room(self.sockets)
         if config.signed is None:
             return ThriftFront(self.loop, config.listen, self.ledger, classes, self.takes_work,
                                wait, most, unread, self.log, bool(config.doors),
@@ -306,7 +316,11 @@
             events = self.batch[:]
             self.batch.clear()
             if self.local is not None:
-                self.carry_out(self.local.decide(events, self.loop.clock.now()))
+                for action in self.local.decide(events, self.loop.clock.now()):
+                    try:
+                        self.carry_out([action])
+                    except Exception as error:  # the others of the turn are carried out all the same
+                        self._faulted("action", error)
             elif self.remote is None or not self.remote.send(events, self.loop.clock.now()):
                 self._alone()
 
@@ -345,15 +359,32 @@
         for part in self.parts if handed else ():
             part.retired()
         self.loop.after(0 if handed else LINGER_NS, self._may_end)
-        self.loop.after(last, lambda: self.ledger.give_up_all("stopping"))
+        self.loop.after(last, self._last_answers)
         self.loop.after(last + STOP_MARGIN_NS // 2, self._end)
 
+    def _last_answers(self) -> None:
+        """Nothing is taken any more: it could not be answered, and a refusal is harmless."""
+        self.ledger.closing = True
+        self.ledger.give_up_all("stopping")
+
     def _may_end(self) -> None:
+        if self._flushed():
+            self.front.retire()
+            self._may_close(self.loop.clock.now() + CLOSE_NS)
+        else:
+            self.loop.after(20 * MS, self._may_end)
+
+    def _flushed(self) -> bool:
         flushed = self.front.flushed() and all(part.flushed() for part in self.parts)
-        if not self.ledger.open and flushed:
+        return flushed and not self.ledger.open
+
+    def _may_close(self, by: int) -> None:
+        """Clients have been told of our end: it is over once all have gone, or at the time `by` those who
+        are owed nothing."""
+        if self._flushed() and (not self.front.clients or self.loop.clock.now() >= by):
             self._end()
         else:
-            self.loop.after(20 * MS, self._may_end)
+            self.loop.after(10 * MS, lambda: self._may_close(by))
 
     def _end(self) -> None:
         self.loop.running = False
--- a/olivecourse/logs.py
+++ b/olivecourse/logs.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import json
+import os
+import select
 import sys
 import time
 from collections.abc import Callable, MutableMapping
+from contextlib import suppress
 from typing import Any
 
 # structlog takes rich wherever it is installed, for a console output that is not used here: 5 MB and 60 ms
@@ -17,6 +21,7 @@
 if _unloaded:
     del sys.modules["rich"]
 
+MOST_LINE = 4096  # PIPE_BUF: what a pipe takes whole once it says that it takes anything
 BURST, SPAN_S = 20, 10.0  # lines of one name in a span; more are counted and left out
 
 
@@ -40,12 +45,39 @@
         return event
 
 
+class Sink:
+    """Lines to a descriptor, each whole or not at all.
+
+    Guards against a reader of the log that has stopped: a full pipe must not stop the loop. What finds no
+    room is left out, and the next line that does carries `lost`, how many.
+    """
+
+    def __init__(self, fd: int) -> None:
+        self._fd, self._lost = fd, 0
+        self._room = select.poll()
+        self._room.register(fd, select.POLLOUT)
+
+    def msg(self, line: str) -> None:
+        data = line.encode("utf-8", "replace")
+        if len(data) > MOST_LINE - 64:
+            data = json.dumps({"event": "line_too_long", "bytes": len(data), "begins": line[:500]}).encode()
+        if not any(events & select.POLLOUT for _, events in self._room.poll(0)):
+            self._lost += 1  # a pipe that is writable has room for MOST_LINE, so that the write can't block
+            return
+        if self._lost:
+            data, self._lost = data.rstrip(b"}") + b', "lost": %d}' % self._lost, 0
+        with suppress(OSError):  # nobody reads any more
+            os.write(self._fd, data + b"\n")
+
+    warning = info = error = msg
+
+
 def set_up() -> None:
     structlog.configure(
         processors=[structlog.processors.add_log_level, Thin(),
                     structlog.processors.TimeStamper(fmt="iso", utc=True),
                     structlog.processors.JSONRenderer()],
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr), cache_logger_on_first_use=True)
+        logger_factory=lambda *args: Sink(sys.stderr.fileno()), cache_logger_on_first_use=True)
 
 
 def logger(**bound: Any) -> Callable[..., None]:
--- a/olivecourse/net/board.py
+++ b/olivecourse/net/board.py
@@ -15,7 +15,7 @@
 
 MS = 1_000_000
 LINGER_MS = 1_500  # short, so that a connection cut off in silence is noticed well before the 7 s are over
-PATIENCE_NS = (LINGER_MS + 700) * MS
+PATIENCE_NS = 700 * MS  # beyond the time for which the board was asked to wait
 AGAIN_NS, AGAIN_MOST_NS = 20 * MS, 320 * MS
 MOST_ANSWER = 4 * 2**20
 Told = Callable[[list[Any]], None]
@@ -28,7 +28,8 @@
         self.board, self.address = board, board.address
         self.parser = httptools.HttpResponseParser(self)
         self.body = bytearray()
-        super().__init__(board.loop, Stream.connect(board.address), 262_144, 4096, connecting=True)
+        super().__init__(board.loop, Stream.connect(board.loop, board.address), 262_144, 4096,
+                         connecting=True)
         self.patience = self.loop.after(400 * MS, self._silent)
 
     def _silent(self) -> None:
@@ -40,9 +41,9 @@
     def ask(self) -> None:
         # Guards against a board cut off without a word, whose connection stays open for ever.
         self.patience.cancel()
-        self.patience = self.loop.after(PATIENCE_NS, self._silent)
         host, port = self.address
         linger = LINGER_MS if self.board.answered else 0  # the first one tells only that the board is there
+        self.patience = self.loop.after(linger * MS + PATIENCE_NS, self._silent)
         self.write(f"GET /board/poll?watch={self.board.rev}&linger={linger} HTTP/1.1\r\n"
                    f"Host: {host}:{port}\r\n\r\n".encode())
 
--- a/olivecourse/net/stores.py
+++ b/olivecourse/net/stores.py
@@ -96,7 +96,7 @@
         self.writing: Attempt | None = None  # whose bytes are being handed to the system
         self._partly = False  # the system has not yet taken the last byte of an attempt
         self.fault = ""
-        super().__init__(pool.loop, Stream.connect(address), MOST_BODY + 4 * MOST_LINE, 2**20,
+        super().__init__(pool.loop, Stream.connect(pool.loop, address), MOST_BODY + 4 * MOST_LINE, 2**20,
                          connecting=True)
         self.deadline = self.loop.after(pool.limits.connect_ns, self._late)
         self.idle_since = self.heard = self.loop.clock.now()
@@ -113,6 +113,8 @@
     def opened(self) -> None:
         self.deadline.cancel()
         self.pump()
+        if not self.load:
+            self.pool.relieve(self)
 
     def drained(self) -> None:
         if self._partly:
@@ -121,27 +123,53 @@
         self.pump()
 
     def pump(self) -> None:
-        """Sends what waits, each only once the line before it has left and after a last look at the rules."""
+        """Sends what waits, each only once the line before it has left and after a last look at the rules.
+
+        Not while sockets' handlers run: clients who have left, and notices, may come later in the same turn.
+        """
+        if self.waiting and not self._pumping and not self.connecting:
+            self.loop.soon(self._pump)
+
+    def _pump(self) -> None:
         if self._pumping or self.connecting:
             return
         self._pumping = True
         while self.waiting and self.open and not len(self.outbox):
+            if self.waiting[0].entry.cls.effect is w.Effect.AT_MOST_ONCE:
+                self.read()  # the store may have closed: then nothing of it ran, and a send would hide that
+                if not self.open or not self.waiting:
+                    continue
             attempt = self.waiting.popleft()
+            if not attempt.ended:
+                attempt.entry.reply.look()  # its client may have left while we were at work, or stopped
             if attempt.ended:
                 continue
             if not self.pool.may_go(attempt):
                 attempt.place = None
                 self.pool.ledger.end(attempt, w.Status.NOT_SENT)
                 continue
-            self.out[attempt.entry.ask.request] = attempt
-            attempt.entry.asked_on.append(self)
-            attempt.went = True
-            self.writing = attempt
-            self._partly = True
-            self.write(self.pool.request(attempt))
-            self.writing = None
+            if not self._go(attempt):
+                break
         self._pumping = False
 
+    def _go(self, attempt: Attempt) -> bool:
+        """Whether a byte of it left, or the connection broke; else it waits on, to be looked at again."""
+        request = attempt.entry.ask.request
+        self.out[request] = attempt
+        attempt.entry.asked_on.append(self)
+        self.pool.ledger.goes(attempt)
+        self.writing = attempt
+        self._partly = True
+        gone = self.offer(self.pool.request(attempt))
+        self.writing = None
+        if not gone and self.open:
+            del self.out[request]
+            attempt.entry.asked_on.remove(self)
+            self.pool.ledger.never_went(attempt)
+            self._partly = False
+            self.waiting.appendleft(attempt)
+        return gone or not self.open
+
     def received(self) -> None:
         self.heard = self.loop.clock.now()
         taken = self._answers()
@@ -218,6 +246,7 @@
     def _idle(self) -> None:
         if not self.load:
             self.idle_since = self.loop.clock.now()
+            self.pool.relieve(self)
             if self.spent:  # not at once: an answer in the midst of this turn may still be read
                 self.loop.after(0, lambda: None if self.load else self.close("an answer never came"))
 
@@ -320,11 +349,26 @@
             stream = StoreStream(self, cache, address)
         except OSError as error:
             self.log("store_connect_failed", store=self.directory.names.get(cache), why=str(error))
-            return None
+            return best  # out of descriptors, say: what is open can still be used
         streams.append(stream)
         self.count += 1
         return stream
 
+    def relieve(self, free: StoreStream) -> None:
+        """Gives a connection with nothing on it what waits for another one of its store to come up."""
+        if free.connecting or free.spent or not free.open:
+            return
+        for late in self._stores.get(free.cache, ()):
+            if not late.connecting or late.address != free.address:
+                continue
+            moved = next((a for a in late.waiting if not a.ended and free not in a.entry.asked_on), None)
+            if moved is not None:
+                late.waiting.remove(moved)
+                moved.place = free
+                free.waiting.append(moved)
+                free.pump()
+                return
+
     def lost(self, stream: StoreStream, why: str) -> None:
         """Ends what was on a connection: what had gone out may have run, what waited never did."""
         self.count -= 1
--- a/olivecourse/net/stream.py
+++ b/olivecourse/net/stream.py
@@ -53,13 +53,20 @@
         self.inbox, self.outbox = RingBuffer(most_in), RingBuffer(most_out)
         self.connecting, self.open = connecting, True
         self.unsent = False  # closed because the system took not a byte of the last write
+        self._blocked = False  # something waits for the system to take bytes again, and is not in the outbox
         self._mask = WRITE if connecting else READ
         loop.watch(sock, self._mask, self._ready)
 
     @staticmethod
-    def connect(address: Address) -> socket.socket:
-        """A socket whose connection is under way; raises OSError where it is refused at once."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    def connect(loop: Loop, address: Address) -> socket.socket:
+        """A socket whose connection is under way; raises OSError where it is refused at once, or where there
+        is no descriptor for it and the loop's owner has none to spare."""
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:
+            if error.errno not in (errno.EMFILE, errno.ENFILE) or not loop.short():
+                raise
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         code = sock.connect_ex(address)
@@ -75,6 +82,13 @@
     def closed(self, why: str) -> None: ...
 
     def _ready(self, mask: int) -> None:
+        try:
+            self._handle(mask)
+        except Exception as error:  # a fault that stayed would come again with every turn
+            self.close(f"fault: {type(error).__name__}")
+            raise
+
+    def _handle(self, mask: int) -> None:
         if self.connecting:
             code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             if code:
@@ -115,18 +129,43 @@
             return
         if not self.connecting and not len(self.outbox):
             # Straight to the system, which mostly takes all: the ring is for what it does not take.
-            try:
-                sent = self.sock.send(data)
-            except (BlockingIOError, InterruptedError):
-                sent = 0
-            except OSError as error:
-                self.unsent = True
-                self.close(errno.errorcode.get(error.errno or 0, "error"))
+            sent = self._send(data)
+            if not self.open:
                 return
             if sent == len(data):
                 self.drained()
                 return
             data = data[sent:] if sent else data
+        self._keep(data)
+
+    def offer(self, data: bytes) -> bool:
+        """As `write`, but nothing is kept where the system takes not a byte now: then False, and `drained`
+        comes once it may take some. For what must not leave later than it was looked at."""
+        if not self.open or self.connecting or len(self.outbox):
+            return False
+        sent = self._send(data)
+        if self.open and not sent:
+            self._blocked = True
+            self._want()
+            return False
+        if self.open and sent < len(data):
+            self._keep(data[sent:])
+        elif self.open:
+            self.drained()
+        return True
+
+    def _send(self, data: bytes) -> int:
+        """How many bytes the system took; the stream is closed where it failed."""
+        try:
+            return self.sock.send(data)
+        except (BlockingIOError, InterruptedError):
+            return 0
+        except OSError as error:
+            self.unsent = True
+            self.close(errno.errorcode.get(error.errno or 0, "error"))
+            return 0
+
+    def _keep(self, data: bytes) -> None:
         try:
             self.outbox.write(data)
         except BufferFull as full:
@@ -136,6 +175,7 @@
             self._want()
 
     def flush(self) -> None:
+        self._blocked = False
         try:
             while len(self.outbox):
                 self.outbox.send(self.sock)
@@ -152,7 +192,7 @@
         """Everything written is with the system."""
 
     def _want(self) -> None:
-        mask = READ | (WRITE if len(self.outbox) else 0)
+        mask = READ | (WRITE if len(self.outbox) or self._blocked else 0)
         if self.open and mask != self._mask:
             self._mask = mask
             self.loop.change(self.sock, mask, self._ready)
--- a/olivecourse/net/wheel.py
+++ b/olivecourse/net/wheel.py
@@ -23,8 +23,9 @@
 class Wheel:
     """Timers fire at the first tick at or after they are due, never early, in order of their ticks."""
 
-    def __init__(self, now: int) -> None:
-        self._tick = now // TICK_NS
+    def __init__(self, now: int, faulted: Callable[[Exception], object]) -> None:
+        """`faulted` is told what a timer's call raised; the other timers go on."""
+        self._tick, self._faulted = now // TICK_NS, faulted
         self._slots: list[list[Timer]] = [[] for _ in range(SLOTS)]
 
     def at(self, due: int, call: Callable[[], object]) -> Timer:
@@ -45,7 +46,10 @@
             for timer in due:
                 call, timer.call = timer.call, None
                 if call is not None:
-                    call()
+                    try:
+                        call()
+                    except Exception as error:
+                        self._faulted(error)
         self._tick = max(self._tick, target)
 
     def wait_ns(self, now: int) -> int:
--- a/olivecourse/ops/succession.py
+++ b/olivecourse/ops/succession.py
@@ -160,7 +160,7 @@
             return False
         front.no_more()
         for client in list(front.clients):
-            if not isinstance(client, ThriftClient) or not heir.open:  # those that are left stay here
+            if not isinstance(client, ThriftClient) or client.lingers or not heir.open:  # those stay here
                 continue
             conn = self._passages.number()
             handed = client.hand_over(Way(heir, conn))
--- a/olivecourse/told/notices.py
+++ b/olivecourse/told/notices.py
@@ -79,7 +79,7 @@
                 yield self._pool(notice["pool"], first)
             if "flush" in notice:
                 yield self._flush(notice["flush"])
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
+        except (KeyError, TypeError, ValueError, AttributeError, ArithmeticError) as error:
             raise BadNotice(f"{type(error).__name__}: {error}") from None
 
     def _pool(self, pool: Any, first: bool) -> w.CacheList:
