--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -3,6 +3,7 @@
 import json
 import os
 import socket
+import threading
 
 import pytest
 from stage import OBJECT, REQUEST, SETTINGS, Peer, S, Stage, member
@@ -386,8 +387,11 @@
 def test_a_log_that_nobody_reads_does_not_stop_the_process_and_tells_later_what_was_left_out():
     out, into = os.pipe()
     sink = logs.Sink(into)
-    for n in range(2000):
-        sink.msg(json.dumps({"event": "x" * 90, "n": n}))
+    writes = threading.Thread(target=lambda: [sink.msg(json.dumps({"event": "x" * 90, "n": n}))
+                                              for n in range(2000)], daemon=True)
+    writes.start()
+    writes.join(20)
+    assert not writes.is_alive()
     os.set_blocking(out, False)
     first = os.read(out, 2**20)
     sink.msg(json.dumps({"event": "after"}))
