--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,5 +1,6 @@
 """The fleet grown large: some forty gateways, each of which meets most stores seldom."""
 
+import heapq
 import math
 from random import Random
 
@@ -244,3 +245,79 @@
     (look,) = looks(d.ask("c", size_kb=50.0), d)
     assert d.event(w.TimerFired(look.token), after=look.delay_ns) == [], "nothing shows that the cache lives"
     assert not d.router.looks
+
+class Day:
+    """A class of reads of uneven sizes against caches with so many slots, on the drive's clock: a cache works
+    on a transfer for as long as its size says, or twice that, and turns away what has no slot."""
+
+    def __init__(self, seed, load, slow=(), broken=(), seconds=30, slots=6):
+        self.random, self.heap, self.count = Random(seed), [], 0
+        self.drive = Drive(seed=seed, routers=3, zone_routers=(0, 1))
+        self.slow, self.broken, self.slots = slow, broken, slots
+        self.open = dict.fromkeys(range(1, 5), 0)
+        self.asked, self.served = [], set()
+        at, end = self.drive.now, self.drive.now + seconds * S
+        self.begin = at
+        while at < end:
+            size = min(self.random.lognormvariate(5.2, 1.2), 3000.0)  # KB at 1,000 KB/s; the mean some 0.35 s
+            self._push(at, "ask", size)
+            at += int(self.random.expovariate(load * 4 * slots / 0.35) * S)
+        while self.heap:
+            at, _, kind, what = heapq.heappop(self.heap)
+            self.drive.now = at
+            acts = self._ask(what) if kind == "ask" else self._end(*what) if kind == "end" else (
+                self.drive.event(w.TimerFired(what)))
+            for act in acts:
+                self._act(act, at, end)
+
+    def _push(self, at, kind, what):
+        self.count += 1
+        heapq.heappush(self.heap, (int(at), self.count, kind, what))
+
+    def _ask(self, size):
+        acts = self.drive.ask(f"{self.random.paretovariate(0.8):.0f}", size_kb=size)
+        self.asked.append((size, self.drive.id))
+        return acts
+
+    def _end(self, request, attempt, cache, status, sent):
+        self.open[cache] -= status is not w.Status.FULL
+        if status is w.Status.SERVED:
+            self.served.add(request)
+        return self.drive.event(w.AttemptEnded(request, attempt, cache, status, self.drive.now - sent,
+                                               status is w.Status.SERVED, w.Note.HIT))
+
+    def _act(self, act, at, end):
+        if isinstance(act, w.SetTimer) and (act.token or at < end + 5 * S):
+            self._push(at + max(act.delay_ns, 0), "timer", act.token)
+        if not isinstance(act, w.ReadThrough):
+            return
+        held = self.drive.router.held[act.request]
+        bad = at - self.begin > 8 * S
+        work = held.ask.size_kb / 1000 * S * (2 if bad and act.cache in self.slow else 1)
+        full = self.open[act.cache] >= self.slots
+        ends = (w.Status.FULL if full else w.Status.ERROR if bad and act.cache in self.broken and
+                self.random.random() < 0.5 else w.Status.SERVED)
+        self.open[act.cache] += not full
+        took = 1 * MS if full else 20 * MS if ends is w.Status.ERROR else work
+        if took > act.timeout_ns:
+            ends, took = w.Status.TIMEOUT, act.timeout_ns
+        self._push(at + took, "end", (act.request, held.sent - 1, act.cache, ends, at))
+
+    def share(self, part=None):
+        """Answered of all, or of the largest `part` of them."""
+        asked = sorted(self.asked, reverse=True)
+        asked = asked[:int(len(asked) * part)] if part else asked
+        return sum(request in self.served for _, request in asked) / len(asked)
+
+
+DAYS = [("quiet", dict(load=0.45), 2 / 3), ("overload", dict(load=1.3), 1 / 2),
+        ("troubled", dict(load=0.7, slow=(1,), broken=(2,)), 1 / 2)]
+
+
+@pytest.mark.parametrize(("day", "least"), [(day, least) for _, day, least in DAYS], ids=[d[0] for d in DAYS])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_the_largest_requests_of_a_class_get_their_part_of_what_is_answered(day, least, seed):
+    played = Day(seed, **day)
+    assert len(played.asked) > 500 and played.share() > 0.3
+    for part in (0.1, 0.3):  # the largest tenth, and with the next fifth
+        assert played.share(part) >= least * played.share(), (part, played.share(part), played.share())
