--- a/olivecourse/choice.py
+++ b/olivecourse/choice.py
@@ -294,7 +294,7 @@
         if not m.ready_at_ns or m.kind == self.s.origin_kind or age >= ramp:
             return True
         # Credit grows by this router's part of what the node surely bears, from a random start, buys a transfer
-        # when worth the largest, and lapses unused after a window: a rush must not find that of all full.
+        # when worth the largest, and lapses if unused for a window: a rush must not find that of all full.
         weight = self.reports.least(m, self.caches) if self.s.weights == "silent" else m.weight or 1.0
         rate = COLD_SAFETY * multiple * (floor + (1 - floor) * age / ramp) * weight / node.seats
         cycle = (largest := max(self.price_ns)) + rate * self.s.fall_ns
