--- a/olivecourse/choice.py
+++ b/olivecourse/choice.py
@@ -293,7 +293,7 @@
         age = max(self.now - (m.ready_at_ns or 0), 0)
         if not m.ready_at_ns or m.kind == self.s.origin_kind or age >= ramp:
             return True
-        # Credit grows by this router's part of what the node surely bears, from a random start, buys a transfer
+        # Credit grows by this router's part of what the node surely bears, from a random start, buys a send
         # when worth the largest, and lapses if unused for a window: a rush must not find that of all full.
         weight = self.reports.least(m, self.caches) if self.s.weights == "silent" else m.weight or 1.0
         rate = COLD_SAFETY * multiple * (floor + (1 - floor) * age / ramp) * weight / node.seats
