Take the members of an event that can be used, whatever is wrong with the others

Seen by reading: Directory._pool made all members before it took one, so that a drain in the same event as one bad line was never taken, and nothing asked for it again, as the event's number had been counted. Half of a bad member (its name, its address) was kept all the same. Lines at fault: told/notices.py _pool (list of _member), _member (names and addresses written before all was read). Change: a member is read whole before anything of it is kept; what can't be used is left out, or stays as it was known in a whole list, and the event is logged as before. The test (a drain beside three bad members, and one in a whole list) fails without it, seen.

--- a/olivecourse/told/notices.py
+++ b/olivecourse/told/notices.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from collections.abc import Callable, Iterator
 from dataclasses import replace
@@ -18,7 +19,10 @@
 
 
 class BadNotice(ValueError):
-    """An event that can't be used."""
+    """An event that can't be used, or not all of it."""
+
+
+UNFIT = (KeyError, TypeError, ValueError, AttributeError, ArithmeticError)  # what unusable values bring about
 
 
 def node_number(name: str) -> int:
@@ -76,15 +80,31 @@
             raise BadNotice("an event is an object")
         try:
             if "pool" in notice:
-                yield self._pool(notice["pool"], first)
+                members, bad = self._members(notice["pool"].get("members", ()))
+                yield self._pool(notice["pool"], members, first)
+                if bad:  # what the event says of the others holds: a drain must not wait for a typing error
+                    raise BadNotice("; ".join(bad[:3]))
             if "flush" in notice:
                 yield self._flush(notice["flush"])
-        except (KeyError, TypeError, ValueError, AttributeError, ArithmeticError) as error:
+        except BadNotice:
+            raise
+        except UNFIT as error:
             raise BadNotice(f"{type(error).__name__}: {error}") from None
 
-    def _pool(self, pool: Any, first: bool) -> w.CacheList:
+    def _members(self, told: Any) -> tuple[list[w.Member], list[str]]:
+        """Those that can be used, one that can't as it is known, and what was wrong with which."""
+        members, bad = list[w.Member](), list[str]()
+        for m in told:
+            try:
+                members.append(self._member(m))
+            except UNFIT as error:
+                bad.append(f"{type(error).__name__}: {error}")
+                known = self.members.get(node_number(str(m.get("id")))) if isinstance(m, dict) else None
+                members += [] if known is None else [known]
+        return members, bad
+
+    def _pool(self, pool: Any, members: list[w.Member], first: bool) -> w.CacheList:
         whole = bool(pool.get("complete"))
-        members = [self._member(m) for m in pool.get("members", ())]
         if whole:  # what a whole list does not name has been removed
             for cache in set(self.states) - {m.cache for m in members}:
                 self._forget(cache)
@@ -111,15 +131,19 @@
     def _member(self, m: Any) -> w.Member:
         name, state = str(m["id"]), STATES[m["phase"]]
         cache = node_number(name)
-        if self.names.setdefault(cache, name) != name:
+        address = parse_address(m["host_port"]) if m.get("host_port") else None
+        up, weight = int(m.get("up_since_ms") or 0), float(m.get("size") or 1)
+        cell = None if m.get("cell") is None else int(m["cell"])
+        if not math.isfinite(weight):
+            raise BadNotice(f"{name}: no size")
+        if self.names.setdefault(cache, name) != name:  # from here on all of it can be used
             raise BadNotice(f"{name} and {self.names[cache]} share a number")
         self.heard_of.pop(name, None)
         self.heard_of[name] = None
         if len(self.heard_of) > MOST_HEARD_OF:
             del self.heard_of[next(iter(self.heard_of))]
-        if m.get("host_port"):
-            self.addresses[cache] = parse_address(m["host_port"])
-        up = int(m.get("up_since_ms") or 0)
+        if address is not None:
+            self.addresses[cache] = address
         # Told again, a start keeps its place on our clock: else a step of the system's clock looks like one.
         told, start = self.started.get(cache, (0, 0))
         if up != told:
@@ -127,8 +151,7 @@
             self.started[cache] = (up, start)
         kind = self._kinds.index(m["flavor"]) if m.get("flavor") in self._kinds else None
         zones = self._hubs if kind in self._at_hubs else self._offices
-        return w.Member(cache, float(m.get("size") or 1), start, zones.get(str(m.get("locality"))), state,
-                        None if m.get("cell") is None else int(m["cell"]), kind,
+        return w.Member(cache, weight, start, zones.get(str(m.get("locality"))), state, cell, kind,
                         "{}:{}@{}".format(*self.addresses.get(cache, ("", 0)), up))
 
     def _flush(self, flush: Any) -> w.Purged:
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -337,16 +337,19 @@
 
 
 @with_board
-def test_an_event_with_a_number_that_is_none_does_not_take_the_others_along(stage):
+@pytest.mark.parametrize("with_it", [(), (None, {"id": 5}, member("s-0000000b", "127.0.0.1:9"))])
+def test_a_member_that_cannot_be_used_takes_neither_the_others_nor_later_events_along(stage, with_it):
     stage.until(lambda: b"watch=1" in stage.board.poll())
     bad = member("s-0000000a", "127.0.0.1:9", up_since_ms=float("inf"))
     drains = member("s-00000001", stage.cache.address, phase="Terminating")
-    notices = [{"rev": 2, "pool": {"revision": 2, "complete": False, "members": [bad]}},
-               {"rev": 3, "pool": {"revision": 3, "complete": False, "members": [drains]}}]
+    known = member("s-00000008", "no address", "parent", "hub-nord")
+    notices = [{"rev": 2, "pool": {"revision": 2, "complete": False, "members": [bad, *with_it]}},
+               {"rev": 3, "pool": {"revision": 3, "complete": True, "members": [drains, known]}}]
     body = json.dumps({"rev": 3, "notices": notices}).encode()
     stage.board.say(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
     stage.until(lambda: not stage.gateway.directory.ready(1))
     assert "notice_unusable" in stage.names()
+    assert stage.gateway.directory.ready(8) and 9 not in stage.gateway.directory.states
 
 
 @with_board
