--- a/olivecourse/fronts/listener.py
+++ b/olivecourse/fronts/listener.py
@@ -321,6 +321,7 @@
         """Closes connections that never ask, never finish asking, or stay without asking again."""
         if self._closed:
             return
+        self.loop.after(SWEEP_NS, self._sweep)  # first, so that a fault below does not end it for good
         now, unread = self.loop.clock.now(), 0
         for client in list(self.clients):
             part = now - client.begun if client.begun else 0
@@ -339,7 +340,6 @@
             unread -= len(worst.outbox)
             self.log("client_does_not_read", unread=len(worst.outbox))
             worst.close("does not read")
-        self.loop.after(SWEEP_NS, self._sweep)
 
     def flushed(self) -> bool:
         """Whether every answer has left."""
--- a/olivecourse/net/stores.py
+++ b/olivecourse/net/stores.py
@@ -134,23 +134,25 @@
         if self._pumping or self.connecting:
             return
         self._pumping = True
-        while self.waiting and self.open and not len(self.outbox):
-            if self.waiting[0].entry.cls.effect is w.Effect.AT_MOST_ONCE:
-                self.read()  # the store may have closed: then nothing of it ran, and a send would hide that
-                if not self.open or not self.waiting:
+        try:
+            while self.waiting and self.open and not len(self.outbox):
+                if self.waiting[0].entry.cls.effect is w.Effect.AT_MOST_ONCE:
+                    self.read()  # the store may have closed: then nothing of it ran, and a send would hide it
+                    if not self.open or not self.waiting:
+                        continue
+                attempt = self.waiting.popleft()
+                if not attempt.ended:
+                    attempt.entry.reply.look()  # its client may have left while we were held up
+                if attempt.ended:
                     continue
-            attempt = self.waiting.popleft()
-            if not attempt.ended:
-                attempt.entry.reply.look()  # its client may have left while we were at work, or stopped
-            if attempt.ended:
-                continue
-            if not self.pool.may_go(attempt):
-                attempt.place = None
-                self.pool.ledger.end(attempt, w.Status.NOT_SENT)
-                continue
-            if not self._go(attempt):
-                break
-        self._pumping = False
+                if not self.pool.may_go(attempt):
+                    attempt.place = None
+                    self.pool.ledger.end(attempt, w.Status.NOT_SENT)
+                    continue
+                if not self._go(attempt):
+                    break
+        finally:  # a fault must not leave the connection asleep for good
+            self._pumping = False
 
     def _go(self, attempt: Attempt) -> bool:
         """Whether a byte of it left, or the connection broke; else it waits on, to be looked at again."""
@@ -392,6 +394,7 @@
 
     def _sweep(self) -> None:
         """Closes connections before the store would: a request that crosses such a close may have run."""
+        self.loop.after(250 * MS, self._sweep)  # first, so that a fault below does not end it for good
         now = self.loop.clock.now()
         for cache, streams in list(self._stores.items()):
             gone = cache not in self.directory.states
@@ -401,7 +404,6 @@
                     stream.close("idle")
             if not streams:
                 del self._stores[cache]
-        self.loop.after(250 * MS, self._sweep)
 
     def drop(self, cache: int, when: int) -> None:
         """The store died at `when` at the latest: older connections that are silent never answer any more.
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -137,11 +137,12 @@
     assert sum(c.lost for c in crowds) == 0 and sum(c.ends["served"] for c in crowds) > 200
 
 
-def test_the_ramp_of_a_cold_store_holds_for_twenty_processes_of_which_some_are_killed(fleet):
+@pytest.mark.parametrize("seats", [20, 30])
+def test_the_ramp_of_a_cold_store_holds_for_many_processes_of_which_some_are_killed(fleet, seats):
     """Counted by the store: in every window N calls and what chance may add, from the first moment on."""
     settings = json.loads(json.dumps(SETTINGS))
     settings["family_info"]["client_kb_per_s"] = 80.0
-    made = [fleet.start(n, 20, settings) for n in range(20)]
+    made = [fleet.start(n, seats, settings) for n in range(seats)]
     ready(fleet, made)
     for n, process in enumerate(made):
         fleet.crowd(process, (2, 6, 18)[n % 3], n, [Sort("fichiers", 1.0, 5000)])
@@ -153,7 +154,7 @@
     for n in range(5):
         made[n].process.kill()
         fleet.crowds[n].close()
-    again = [fleet.start(n, 20, settings) for n in range(5)]
+    again = [fleet.start(n, seats, settings) for n in range(5)]
     assert fleet.run(10, lambda: all([p.look() for p in again]))
     for n, process in enumerate(again):
         fleet.crowd(process, 18, 100 + n, [Sort("fichiers", 1.0, 5000)])
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -384,6 +384,27 @@
         "action", "socket", "timer"])
 
 
+def test_a_fault_in_what_comes_again_by_time_or_in_a_send_is_over_with_that_one(stage, monkeypatch):
+    def fault(*args):
+        raise RuntimeError("planted")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(stage.gateway.pool, "may_go", fault)
+        patch.setattr(stage.gateway.pool, "_stores", None)
+        patch.setattr(stage.gateway.front, "clients", None)
+        stage.until(lambda: sum(v.get("where") == "timer" for _, v in stage.logged) > 1)
+    client = stage.client()
+    with monkeypatch.context() as patch:
+        patch.setattr(stage.gateway.pool, "may_go", fault)
+        client.call()
+        stage.until(lambda: any(v["where"] == "call" for event, v in stage.logged if event == "loop_fault"))
+    (stream,) = stage.gateway.pool._stores[1]
+    assert not stream._pumping
+    monkeypatch.setattr(listener, "FIRST_NS", 0)
+    idle = stage.client()
+    stage.until(lambda: idle.poll() is not None and idle.closed)  # the sweep goes on
+
+
 whole = thrift.ThriftClient._call
 
 
