--- a/olivecourse/core/ledger.py
+++ b/olivecourse/core/ledger.py
@@ -63,6 +63,7 @@
     reply: Reply
     deadline: int
     wanted: int
+    key: str | None = None  # by which stores know a repeat, where the client gave one
     count: int = 0
     out: dict[int, Attempt] = field(default_factory=dict)
     asked_on: list[Any] = field(default_factory=list)  # the carrier's connections that know this id
@@ -121,8 +122,9 @@
 
     # From the fronts ---------------------------------------------------------------------------------
 
-    def take(self, ask: w.Request, body: bytes, holds: str | None, reply: Reply) -> None:
-        """From here on the request is owed one final answer."""
+    def take(self, ask: w.Request, body: bytes, holds: str | None, reply: Reply,
+             key: str | None = None) -> None:
+        """From here on the request is owed one final answer. `key` is the client's idempotency key."""
         if ask.request in self.entries:
             raise Duplicate(ask.request)
         if self.open >= self._most:
@@ -132,7 +134,7 @@
         now, own = self._timers.now(), 0.0
         if cls.aim_stretch and ask.size_kb and self._settings.client_kb_per_s:
             own = cls.aim_stretch * ask.size_kb / self._settings.client_kb_per_s * 1e9
-        entry = Entry(ask, cls, body, holds, reply, now + budget, now + cls.aim_ns + int(own))
+        entry = Entry(ask, cls, body, holds, reply, now + budget, now + cls.aim_ns + int(own), key)
         # Guards against a Router or planner that forgets a request: it is answered in time all the same.
         entry.guard = self._timers.after(budget + GUARD_NS, lambda: self._overdue(entry))
         self.entries[ask.request] = entry
--- a/olivecourse/fronts/listener.py
+++ b/olivecourse/fronts/listener.py
@@ -25,7 +25,8 @@
 class Taker(Protocol):
     """The core, as fronts see it."""
 
-    def take(self, ask: w.Request, body: bytes, holds: str | None, reply: Any) -> None: ...
+    def take(self, ask: w.Request, body: bytes, holds: str | None, reply: Any,
+             key: str | None = None) -> None: ...
 
     def leave(self, request: str) -> None: ...
 
--- a/olivecourse/fronts/signed.py
+++ b/olivecourse/fronts/signed.py
@@ -248,7 +248,7 @@
         etag = asked.headers.get("if-none-match")
         if etag and not write:
             fields["mine"] = etag.removeprefix("W/").strip('"')
-        ask, body, holds = read_request(fields, bytes(asked.body), self.classes, self.loop.lag_ns)
+        ask, body, holds, _ = read_request(fields, bytes(asked.body), self.classes, self.loop.lag_ns)
         mark = self._check(asked, self._public + target, write)
         return SignedReply(client, asked.keep, mark), ask, body, holds
 
--- a/olivecourse/fronts/thrift.py
+++ b/olivecourse/fronts/thrift.py
@@ -29,6 +29,7 @@
 from olivecourse.net.loop import Loop
 from olivecourse.net.ringbuf import BufferFull
 from olivecourse.told.address import Address
+from olivecourse.told.vocabulary import IDEMPOTENCY_KEY
 
 MS = 1_000_000
 MOST_WRITE = 48_000
@@ -37,6 +38,7 @@
 # What a busy gateway took for its last turn comes off besides: the request waited for so long unread.
 WAY_NS = 15 * MS  # a client's patience runs from when it sent; its request takes up to this to arrive
 ID = re.compile(r"[0-9a-f]{16}")
+TAG = re.compile(r"[0-9A-Za-z_.-]{1,64}")
 FLAGS = {(False, False): w.Flag(0), (True, False): w.Flag.REPEAT, (False, True): w.Flag.WRITE,
          (True, True): w.Flag.REPEAT | w.Flag.WRITE}
 
@@ -47,8 +49,9 @@
 
 def read_request(fields: dict[str, str] | None, body: bytes | None,
                  classes: dict[str, tuple[int, bool]],
-                 lag_ns: int) -> tuple[w.Request, bytes, str | None]:
-    """The module's request of a client's fields; raises BadRequest with a short reason."""
+                 lag_ns: int) -> tuple[w.Request, bytes, str | None, str | None]:
+    """The module's request of a client's fields, its body, the tag of the client's copy and its idempotency
+    key; raises BadRequest with a short reason."""
     if not isinstance(fields, dict):
         raise BadRequest("no fields")
     cls, request, obj = fields.get("c", ""), fields.get("i", ""), fields.get("o", "")
@@ -72,11 +75,14 @@
     if not isinstance(data, bytes) or len(data) > MOST_WRITE:
         raise BadRequest("body too long")
     holds = fields.get("mine")
-    if holds is not None and not re.fullmatch(r"[0-9A-Za-z_.-]{1,64}", holds):
+    if holds is not None and not TAG.fullmatch(holds):
         raise BadRequest("mine is no tag")
+    key = fields.get(IDEMPOTENCY_KEY)
+    if key is not None and not TAG.fullmatch(key):
+        raise BadRequest(f"{IDEMPOTENCY_KEY} is no key")
     flags = FLAGS[fields.get("r") == "1", write]
     budget_ns = max(budget * MS - WAY_NS - lag_ns, 2 * MS)
-    return w.Request(request, number, None, obj, budget_ns, size, group, part, flags), data, holds
+    return w.Request(request, number, None, obj, budget_ns, size, group, part, flags), data, holds, key
 
 
 class ThriftReply:
@@ -239,8 +245,8 @@
             ThriftReply(self, number).refused(self.front.wait_ns)
             return
         try:
-            ask, body, holds = read_request(args.fields, args.body, self.front.classes,
-                                           self.loop.lag_ns)
+            ask, body, holds, key = read_request(args.fields, args.body, self.front.classes,
+                                                self.loop.lag_ns)
         except BadRequest as bad:
             self._fault("serve", number, TApplicationException.PROTOCOL_ERROR, str(bad))
             return
@@ -250,7 +256,7 @@
         if self.load() == 1:
             self.settle()
         try:
-            self.front.core.take(ask, body, holds, ThriftReply(self, number))
+            self.front.core.take(ask, body, holds, ThriftReply(self, number), key)
         except Duplicate:
             del self.asked[number]
             self._fault("serve", number, TApplicationException.INVALID_TRANSFORM, "request id in use")
--- a/olivecourse/net/stores.py
+++ b/olivecourse/net/stores.py
@@ -14,7 +14,7 @@
 from olivecourse.net.stream import Stream
 from olivecourse.told.address import Address
 from olivecourse.told.notices import Directory
-from olivecourse.told.vocabulary import REPORTED
+from olivecourse.told.vocabulary import REPORTED, STORE_IDEMPOTENCY_KEY
 
 MS = 1_000_000
 MOST_LINE = 2048
@@ -277,6 +277,8 @@
                 named.append(f"newer={max(act.max_age_ns // MS, 1)}")
             if act.how:
                 named.append("handle=" + "+".join(word for bit, word in HOWS if act.how & bit))
+        if entry.key:
+            named.append(f"{STORE_IDEMPOTENCY_KEY}={entry.key}")
         if entry.holds and not entry.cls.write:
             named.append(f"holds={entry.holds}")
         return f"fetch {ask.request} {','.join(named)} {len(entry.body)}\r\n".encode() + entry.body + b"\r\n"
--- a/olivecourse/told/vocabulary.py
+++ b/olivecourse/told/vocabulary.py
@@ -55,6 +55,10 @@
 REFUSED = ("app_conf_invalid", "lb_reloads_refused")
 LONGEST_TURN = ("app_turn_seconds_max",)
 
+# The key by which stores know a repeat; clients give it for classes with a window for repeats. Its field in a
+# client's request, and in one to a store (`kit/sites/real.json`, "idem").
+IDEMPOTENCY_KEY, STORE_IDEMPOTENCY_KEY = "k", "op"
+
 # Fields of load reports: the settings name them by the right-hand words, stores may write either.
 REPORTED: dict[str, str] = {"inflight": "active", "queue": "waiting", "util": "cpu", "latency_ms": "avg_ms",
                             "qps": "rps", "eps": "err_rps"}
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -43,6 +43,17 @@
     assert stage.until(client.answers) == [(1, "success", {"still": "1"}, b"")]
 
 
+def test_the_key_of_a_repeat_reaches_the_store_as_the_client_gave_it_and_one_that_is_none_is_a_fault(stage):
+    client = stage.client()
+    client.call(c="commande", body=b"a dozen", k="763fa061b1d166bbecc24c75a477a81a")
+    assert fields_of(stage.until(stage.cache.line))["op"] == "763fa061b1d166bbecc24c75a477a81a"
+    client.call(2, i="9b1f03aa5c7e2d42", k="a,b=c")
+    assert stage.until(client.answers) == [(2, "fault", {}, b"")]
+    client.call(3, i="9b1f03aa5c7e2d43", o="7f3a9c21e0b4d656")
+    assert "op" not in fields_of(stage.until(lambda: next(
+        (line for line in iter(stage.cache.line, None) if line.startswith("fetch")), None)))
+
+
 def test_an_order_that_may_have_run_fails_and_is_not_sent_again(stage):
     client = stage.client()
     client.call(c="commande", body=b"a dozen")
