--- a/olivecourse/gateway.py
+++ b/olivecourse/gateway.py
@@ -18,7 +18,7 @@
 from olivecourse.core.planner import Planner
 from olivecourse.fronts.listener import Listener
 from olivecourse.fronts.thrift import ThriftFront
-from olivecourse.net.board import Board
+from olivecourse.net.discovery_client import DiscoveryClient
 from olivecourse.net.loop import Loop
 from olivecourse.net.seam import RemotePlanner
 from olivecourse.net.stores import Limits, Pool
@@ -34,7 +34,7 @@
 
 P = TypeVar("P", bound=Part)
 MS = 1_000_000
-BOARD_NS = 3_000 * MS  # a board that has said nothing for so long after a start holds up nobody any more
+DISCOVERY_WAIT_NS = 3_000 * MS  # after a start, discovery that stays silent holds up nobody any longer
 LINGER_NS = 900 * MS  # after SIGTERM clients keep coming for 0.6 s; 0.7 s at least are asked for
 LONGEST_NS = 3_000 * MS  # what of the longest deadline counts before SIGKILL may come, plus 0.7 s
 RETIRED_NS = 1_000 * MS  # a class no longer told is still taken for so long: requests are on their way
@@ -93,7 +93,9 @@
             self.batch.clear()  # told anew to every planner that is found
             self.remote = RemotePlanner(loop, config.planner, self.carry_out, self.greet, self._alone, log)
         self.decide()
-        self.board = None if config.board is None else Board(loop, config.board, config.rev, self.told, log)
+        self.discovery: DiscoveryClient | None = None
+        if config.board is not None:
+            self.discovery = DiscoveryClient(loop, config.board, config.rev, self.told, log)
         self.tokens: Tokens | None = None
         self.spent: DurableSpent | None = None
         self.front: Listener = self._front()
@@ -196,14 +198,14 @@
                               inventory=fresh.inventory, connect_ns=fresh.connect_ns,
                               idle_ns=fresh.idle_ns, streams=fresh.streams, settings=merged.settings,
                               signed=old.signed if "signed" in fixed else fresh.signed)
-        if self.board is not None and fresh.board is not None:
-            self.board.move(fresh.board)
+        if self.discovery is not None and fresh.board is not None:
+            self.discovery.move(fresh.board)
         elif fresh.board is not None:
-            self.board = Board(self.loop, fresh.board, old.rev, self.told, self.log)
-        elif self.board is not None:  # told nothing any more, but the number is kept for a board to come
-            self.board.stop()
-            self.config = replace(self.config, rev=self.board.rev)
-            self.board = None
+            self.discovery = DiscoveryClient(self.loop, fresh.board, old.rev, self.told, self.log)
+        elif self.discovery is not None:  # told nothing any more, but the number is kept for a board to come
+            self.discovery.stop()
+            self.config = replace(self.config, rev=self.discovery.rev)
+            self.discovery = None
         if keys is not None and self.tokens is not None:
             self.tokens.keys = keys
         self.pool.limits = replace(self.pool.limits, **self._reach())
@@ -270,8 +272,8 @@
             return "stopping" if self.stopping else "draining"
         if not any(map(self.directory.ready, self.directory.states)):
             return "no store is usable"
-        waiting = self.board is not None and not self.board.answered
-        if waiting and self.loop.clock.now() - self.started < BOARD_NS:
+        waiting = self.discovery is not None and not self.discovery.answered
+        if waiting and self.loop.clock.now() - self.started < DISCOVERY_WAIT_NS:
             return "the notice board has not answered yet"
         if self.remote is not None and self.remote.stream is None:
             return "no planner"
@@ -298,7 +300,7 @@
                         self._remember(event)
                     self.batch.append(event)
             except BadNotice as bad:
-                self.log("notice_unusable", why=str(bad))
+                self.log("discovery_event_invalid", why=str(bad))
         ended, self.directory.ended = self.directory.ended, {}
         for cache, when in ended.items():
             self.pool.drop(cache, when)
@@ -404,8 +406,8 @@
         self.front.close()
         if self.spent is not None:
             self.spent.stop()
-        if self.board is not None:
-            self.board.stop()
+        if self.discovery is not None:
+            self.discovery.stop()
         for part in self.parts:
             part.stop()
         if self.remote is not None:
--- a/olivecourse/net/board.py
+++ b/olivecourse/net/discovery_client.py
@@ -1,4 +1,4 @@
-"""The notice board over HTTP/1.1 long polls: numbered events, each handed on once and in order."""
+"""Discovery over HTTP/1.1 long polls: numbered events, each handed on once and in order."""
 
 from __future__ import annotations
 
@@ -14,23 +14,25 @@
 from olivecourse.told.address import Address
 
 MS = 1_000_000
-LINGER_MS = 1_500  # short, so that a connection cut off in silence is noticed well before the 7 s are over
-PATIENCE_NS = 700 * MS  # beyond the time for which the board was asked to wait
-AGAIN_NS, AGAIN_MOST_NS = 20 * MS, 320 * MS
-MOST_ANSWER = 4 * 2**20
-Told = Callable[[list[Any]], None]
+# Short, so that a connection cut off in silence is noticed well before the 7 s are over.
+LONG_POLL_WAIT_MS = 1_500
+RESPONSE_TIMEOUT_NS = 700 * MS  # beyond the time for which the board was asked to wait
+RECONNECT_BACKOFF_NS, RECONNECT_BACKOFF_MOST_NS = 20 * MS, 320 * MS
+MAX_RESPONSE_BYTES = 4 * 2**20
+EventsCallback = Callable[[list[Any]], None]
 
 
 class PollStream(Stream):
     """One kept-alive connection on which polls follow each other."""
 
-    def __init__(self, board: Board) -> None:
-        self.board, self.address = board, board.address
+    def __init__(self, client: DiscoveryClient) -> None:
+        self.client, self.address = client, client.address
         self.parser = httptools.HttpResponseParser(self)
         self.body = bytearray()
-        super().__init__(board.loop, Stream.connect(board.loop, board.address), 262_144, 4096,
-                         connecting=True)
-        self.patience = self.loop.after(400 * MS, self._silent)
+        super().__init__(
+            client.loop, Stream.connect(client.loop, client.address), 262_144, 4096, connecting=True
+        )
+        self.response_timer = self.loop.after(400 * MS, self._silent)
 
     def _silent(self) -> None:
         self.close("no answer in time")
@@ -40,12 +42,15 @@
 
     def ask(self) -> None:
         # Guards against a board cut off without a word, whose connection stays open for ever.
-        self.patience.cancel()
+        self.response_timer.cancel()
         host, port = self.address
-        linger = LINGER_MS if self.board.answered else 0  # the first one tells only that the board is there
-        self.patience = self.loop.after(linger * MS + PATIENCE_NS, self._silent)
-        self.write(f"GET /board/poll?watch={self.board.rev}&linger={linger} HTTP/1.1\r\n"
-                   f"Host: {host}:{port}\r\n\r\n".encode())
+        # The first poll tells only that discovery is there.
+        wait_ms = LONG_POLL_WAIT_MS if self.client.answered else 0
+        self.response_timer = self.loop.after(wait_ms * MS + RESPONSE_TIMEOUT_NS, self._silent)
+        self.write(
+            f"GET /board/poll?watch={self.client.rev}&linger={wait_ms} HTTP/1.1\r\n"
+            f"Host: {host}:{port}\r\n\r\n".encode()
+        )
 
     def received(self) -> None:
         try:
@@ -54,7 +59,7 @@
             self.close(f"broken HTTP: {error}")
 
     def on_body(self, data: bytes) -> None:
-        if len(self.body) + len(data) > MOST_ANSWER:
+        if len(self.body) + len(data) > MAX_RESPONSE_BYTES:
             raise ValueError("answer too long")
         self.body += data
 
@@ -64,7 +69,7 @@
             self.loop.after(0, lambda: self.close("not a 200"))
             return
         keep = self.parser.should_keep_alive()
-        if not self.board.answer(body):  # asked again at once, it would most likely say the same
+        if not self.client.handle_response(body):  # asked again at once, it would most likely say the same
             self.loop.after(0, lambda: self.close("broken answer"))
         elif keep and self.open:
             self.ask()
@@ -72,14 +77,18 @@
             self.loop.after(0, lambda: self.close("closed after its answer"))
 
     def closed(self, why: str) -> None:
-        self.patience.cancel()
-        self.board.lost(self, why)
+        self.response_timer.cancel()
+        self.client.on_disconnect(self, why)
 
 
-class Board:
-    def __init__(self, loop: Loop, address: Address, rev: int, told: Told, log: Callable[..., None]) -> None:
-        self.loop, self.address, self.rev, self._told, self._log = loop, address, rev, told, log
-        self._again = AGAIN_NS
+class DiscoveryClient:
+    """Polls one discovery address, reconnects with backoff and hands each new event on."""
+
+    def __init__(
+        self, loop: Loop, address: Address, rev: int, on_events: EventsCallback, log: Callable[..., None]
+    ) -> None:
+        self.loop, self.address, self.rev, self._on_events, self._log = loop, address, rev, on_events, log
+        self._backoff_ns = RECONNECT_BACKOFF_NS
         self._stopped = False
         self.answered = False  # whether any answer could be read since the start
         self.stream: PollStream | None = None
@@ -92,16 +101,16 @@
         try:
             self.stream = PollStream(self)
         except OSError as error:
-            self.lost(None, str(error))
+            self.on_disconnect(None, str(error))
 
     def move(self, address: Address) -> None:
-        """The board of a new configuration: asked at once, from the last event that the old one told.
+        """The address of a new configuration: polled at once, from the last event that the old one sent.
 
         Guards against a wait for the old one, which may keep its connection open and say nothing more.
         """
         if address == self.address:
             return
-        self.address, self._again = address, AGAIN_NS
+        self.address, self._backoff_ns = address, RECONNECT_BACKOFF_NS
         old, self.stream = self.stream, None
         if old is not None:
             old.close("the board has moved")
@@ -109,33 +118,34 @@
             self._timer.cancel()
         self._connect()
 
-    def answer(self, body: bytes) -> bool:
+    def handle_response(self, body: bytes) -> bool:
         """Whether the answer could be read; of one that can't, nothing is taken."""
         try:
             news = json.loads(body)
             rev, notices = int(news["rev"]), list(news["notices"])
-            fresh = sorted(((int(n["rev"]), n) for n in notices if int(n["rev"]) > self.rev),
-                           key=lambda pair: pair[0])
+            fresh = sorted(
+                ((int(n["rev"]), n) for n in notices if int(n["rev"]) > self.rev), key=lambda pair: pair[0]
+            )
         except (ValueError, KeyError, TypeError) as error:
-            self._log("board_broken_answer", why=repr(error))
+            self._log("discovery_response_invalid", why=repr(error))
             return False
-        self._again = AGAIN_NS
+        self._backoff_ns = RECONNECT_BACKOFF_NS
         self.answered = True
         if fresh:
             self.rev = fresh[-1][0]
-            self._told([n for _, n in fresh])
+            self._on_events([n for _, n in fresh])
         # The answer's own number may run ahead of its list: never past what was really read.
         if not notices and rev < self.rev:
-            self._log("board_went_back", rev=rev, held=self.rev)
+            self._log("discovery_revision_decreased", rev=rev, held=self.rev)
         return True
 
-    def lost(self, stream: PollStream | None, why: str) -> None:
+    def on_disconnect(self, stream: PollStream | None, why: str) -> None:
         if self._stopped or stream is not self.stream:
             return
         self.stream = None
-        self._log("board_lost", why=why)
-        self._timer = self.loop.after(self._again, self._connect)
-        self._again = min(self._again * 2, AGAIN_MOST_NS)
+        self._log("discovery_disconnected", why=why)
+        self._timer = self.loop.after(self._backoff_ns, self._connect)
+        self._backoff_ns = min(self._backoff_ns * 2, RECONNECT_BACKOFF_MOST_NS)
 
     def stop(self) -> None:
         self._stopped = True
--- a/olivecourse/storm/explain.py
+++ b/olivecourse/storm/explain.py
@@ -14,7 +14,8 @@
 FIGURE = re.compile(r"(\w+)=(-?[0-9.]+)")
 BEFORE = 5  # lines just before a storm that may tell what it began with
 CAUSES = {"module", "store_connection_lost", "store_connect_failed", "store_broken_answer", "board_lost",
-          "planner_lost", "memory_taken_up", "ready", "tokens_write_failed", "too_many_clients"}
+          "discovery_disconnected", "planner_lost", "memory_taken_up", "ready", "tokens_write_failed",
+          "too_many_clients"}
 
 
 @dataclass
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -184,8 +184,8 @@
         self.gateway.front.close()
         for thing in (*self.peers, *(c.sock for c in self.clients)):
             thing.close()
-        if self.gateway.board is not None:
-            self.gateway.board.stop()
+        if self.gateway.discovery is not None:
+            self.gateway.discovery.stop()
         self.gateway.loop.close()
 
 
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -348,7 +348,7 @@
     body = json.dumps({"rev": 3, "notices": notices}).encode()
     stage.board.say(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
     stage.until(lambda: not stage.gateway.directory.ready(1))
-    assert "notice_unusable" in stage.names()
+    assert "discovery_event_invalid" in stage.names()
     assert stage.gateway.directory.ready(8) and 9 not in stage.gateway.directory.states
 
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -177,7 +177,7 @@
     stage.until(lambda: b"watch=1&" in stage.board.poll())
     stage.tell(5, flush={"collection": 17, "ms": 1})
     stage.until(lambda: b"watch=5&" in stage.board.poll())
-    assert "board_lost" in stage.names()
+    assert "discovery_disconnected" in stage.names()
 
 
 @with_board
@@ -185,7 +185,7 @@
     stage.until(lambda: b"watch=1&" in stage.board.poll())
     stage.tell(2, flush={"asset": "x y", "ms": 1}, pool={"members": [{"id": "s-1"}]})
     stage.until(lambda: b"watch=2&" in stage.board.poll())
-    assert "notice_unusable" in stage.names()
+    assert "discovery_event_invalid" in stage.names()
 
 
 @pytest.mark.parametrize("fields", [{"c": "nosuch"}, {"o": "../etc"}, {"d": "soon"}, {"d": "-1"},
@@ -321,7 +321,7 @@
     stage.cache.say(f"{REQUEST} data version=aa,stamp=1,n=HIT 2\r\nhi\r\n".encode())
     assert stage.until(client.answers) == [(1, "success", {}, b"hi")]
     assert ("reloaded", {"moved": ["board"], "needs_restart": []}) in stage.logged
-    assert "board_lost" not in stage.names()
+    assert "discovery_disconnected" not in stage.names()
     old.close()
 
 
@@ -329,7 +329,7 @@
 def test_a_board_answer_that_cannot_be_read_is_not_asked_for_again_at_once(stage):
     stage.until(lambda: b"watch=1&" in stage.board.poll())
     stage.board.say(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n{\"r")
-    stage.until(lambda: "board_lost" in stage.names())
+    stage.until(lambda: "discovery_disconnected" in stage.names())
     assert stage.board.poll().count(b"GET ") == 1
     stage.until(lambda: stage.board.poll().count(b"GET ") == 2)
 
