--- a/benchmarks/restart.py
+++ b/benchmarks/restart.py
@@ -82,11 +82,11 @@
 def stalls(seconds: float, on: bool) -> float:
     """The p99 of a loop's turns from waking to end, in ms, with a Router of 60 stores at work on it."""
     from olivecourse import interface as w
+    from olivecourse.config.settings import nested_pairs, read_settings
     from olivecourse.core.planner import Planner
     from olivecourse.memory.keeper import Keeper
     from olivecourse.memory.section import MemoryConfig, MemorySection
     from olivecourse.net.loop import Loop
-    from olivecourse.told.settings import nested_pairs, read_settings
 
     with tempfile.TemporaryDirectory() as name:
         loop = Loop()
--- a/olivecourse/cli.py
+++ b/olivecourse/cli.py
@@ -15,7 +15,7 @@
 import click
 
 from olivecourse import logs
-from olivecourse.told.config import BadConfig, Config, load_config, load_operator
+from olivecourse.config.gateway_config import BadConfig, Config, load_config, load_operator
 
 VERSION = "0.3.0"
 
--- a/olivecourse/told/notices.py
+++ b/olivecourse/config/discovery_events.py
@@ -1,4 +1,4 @@
-"""The notice board's events and the inventory's members, as the module's events."""
+"""Translates discovery events and inventory members into the events of the routing module."""
 
 from __future__ import annotations
 
@@ -10,15 +10,15 @@
 from typing import Any
 
 from olivecourse import interface as w
-from olivecourse.told.address import Address, parse_address
+from olivecourse.config.address import Address, parse_address
 
 STATES = {"Ready": w.State.READY, "Terminating": w.State.DRAINING, "Gone": w.State.GONE}
 HEX_ID = re.compile(r"[A-Za-z]*-?([0-9a-f]{8})")
-MOST_HEARD_OF = 16_384  # ids; some 2 MB at the most
+MAX_RECENTLY_LISTED = 16_384  # ids; some 2 MB at the most
 OBJECT = re.compile(r"[0-9a-f]{16}")
 
 
-class BadNotice(ValueError):
+class InvalidEvent(ValueError):
     """An event that can't be used, or not all of it."""
 
 
@@ -32,11 +32,17 @@
     return int.from_bytes(blake2b(name.encode(), digest_size=4).digest(), "big")
 
 
-class Directory:
-    """The stores that this gateway has been told of: names, addresses and states."""
+class ServerDirectory:
+    """The servers that discovery has listed: names, addresses and states."""
 
-    def __init__(self, zones: list[str], kinds: list[str], settings: w.Settings,
-                 from_unix_ms: Callable[[int], int], now: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        zones: list[str],
+        kinds: list[str],
+        settings: w.Settings,
+        from_unix_ms: Callable[[int], int],
+        now: Callable[[], int],
+    ) -> None:
         """`settings` tell which kinds stand at hubs, and which zones have gateways."""
         self._kinds, self._from_unix_ms, self._now = kinds, from_unix_ms, now
         self._at_hubs = {settings.parent_kind, settings.origin_kind} - {-1}
@@ -49,47 +55,47 @@
         self.addresses: dict[int, Address] = {}
         self.states: dict[int, w.State] = {}
         self.members: dict[int, w.Member] = {}
-        self.ended: dict[int, int] = {}  # stores that died, and when at the latest
+        self.terminated_at: dict[int, int] = {}  # stores that died, and when at the latest
         self.started: dict[int, tuple[int, int]] = {}  # by store: its start as told, and on our clock
-        self.out: set[str] = set()  # ids that operators took out by hand: to everyone here they drain
-        self.placed: set[str] = set()  # ids that have a place to be out, as the fleet has agreed
-        self.heard_of: dict[str, None] = {}  # ids that a list has named, the latest last
+        self.manually_drained: set[str] = set()  # ids that operators drain by hand, whatever discovery says
+        self.leased_out: set[str] = set()  # ids that hold a lease to be out, as the fleet has agreed
+        self.recently_listed: dict[str, None] = {}  # ids that a list has named, latest last
 
     def ready(self, cache: int) -> bool:
-        return self.states.get(cache) is w.State.READY and not self._by_hand(cache)
+        return self.states.get(cache) is w.State.READY and not self._withdrawn(cache)
 
-    def _by_hand(self, cache: int) -> bool:
+    def _withdrawn(self, cache: int) -> bool:
         name = self.names.get(cache)
-        return name in self.out or name in self.placed
+        return name in self.manually_drained or name in self.leased_out
 
-    def shown(self, member: w.Member) -> w.Member:
-        """The member as the module is to see it: a store out by hand drains, whatever the list says."""
-        hidden = member.state is w.State.READY and self._by_hand(member.cache)
+    def effective_member(self, member: w.Member) -> w.Member:
+        """The member as the module is to see it: a withdrawn server drains, whatever discovery says."""
+        hidden = member.state is w.State.READY and self._withdrawn(member.cache)
         return replace(member, state=w.State.DRAINING) if hidden else member
 
-    def shown_again(self, name: str) -> w.CacheList | None:
-        """The event that tells the module of a store taken out or back by hand; None if it is not listed."""
+    def effective_change(self, name: str) -> w.CacheList | None:
+        """The event that tells the module of a server drained or restored by hand; None if not listed."""
         member = self.members.get(node_number(name))
         if member is None or self.names.get(member.cache) != name:
             return None
-        return w.CacheList(0, w.ListKind.CHANGES, (self.shown(member),))
+        return w.CacheList(0, w.ListKind.CHANGES, (self.effective_member(member),))
 
-    def events(self, notice: Any, first: bool = False) -> Iterator[w.Event]:
-        """The module's events for one numbered event; raises BadNotice."""
-        if not isinstance(notice, dict):
-            raise BadNotice("an event is an object")
+    def events(self, event: Any, first: bool = False) -> Iterator[w.Event]:
+        """The module's events for one numbered event; raises InvalidEvent."""
+        if not isinstance(event, dict):
+            raise InvalidEvent("an event is an object")
         try:
-            if "pool" in notice:
-                members, bad = self._members(notice["pool"].get("members", ()))
-                yield self._pool(notice["pool"], members, first)
+            if "pool" in event:
+                members, bad = self._members(event["pool"].get("members", ()))
+                yield self._pool(event["pool"], members, first)
                 if bad:  # what the event says of the others holds: a drain must not wait for a typing error
-                    raise BadNotice("; ".join(bad[:3]))
-            if "flush" in notice:
-                yield self._flush(notice["flush"])
-        except BadNotice:
+                    raise InvalidEvent("; ".join(bad[:3]))
+            if "flush" in event:
+                yield self._flush(event["flush"])
+        except InvalidEvent:
             raise
         except UNFIT as error:
-            raise BadNotice(f"{type(error).__name__}: {error}") from None
+            raise InvalidEvent(f"{type(error).__name__}: {error}") from None
 
     def _members(self, told: Any) -> tuple[list[w.Member], list[str]]:
         """Those that can be used, one that can't as it is known, and what was wrong with which."""
@@ -115,16 +121,16 @@
                 self._forget(m.cache)
                 continue
             if known is not None and m.ready_at_ns and m.ready_at_ns != known.ready_at_ns:
-                self.ended[m.cache] = m.ready_at_ns
+                self.terminated_at[m.cache] = m.ready_at_ns
             self.states[m.cache] = m.state
             self.members[m.cache] = m
         # Changes are changes, also among the events of the start: taken as a list they would end all others.
         kind = w.ListKind.CHANGES if not whole else w.ListKind.HELD if first else w.ListKind.FULL
-        return w.CacheList(int(pool.get("revision", 0)), kind, tuple(map(self.shown, members)))
+        return w.CacheList(int(pool.get("revision", 0)), kind, tuple(map(self.effective_member, members)))
 
     def _forget(self, cache: int) -> None:
         """A store that is gone leaves nothing behind: its successor has another id, perhaps its address."""
-        self.ended[cache] = self._now()
+        self.terminated_at[cache] = self._now()
         for known in (self.names, self.addresses, self.states, self.members, self.started):
             known.pop(cache, None)
 
@@ -135,13 +141,13 @@
         up, weight = int(m.get("up_since_ms") or 0), float(m.get("size") or 1)
         cell = None if m.get("cell") is None else int(m["cell"])
         if not math.isfinite(weight):
-            raise BadNotice(f"{name}: no size")
+            raise InvalidEvent(f"{name}: no size")
         if self.names.setdefault(cache, name) != name:  # from here on all of it can be used
-            raise BadNotice(f"{name} and {self.names[cache]} share a number")
-        self.heard_of.pop(name, None)
-        self.heard_of[name] = None
-        if len(self.heard_of) > MOST_HEARD_OF:
-            del self.heard_of[next(iter(self.heard_of))]
+            raise InvalidEvent(f"{name} and {self.names[cache]} share a number")
+        self.recently_listed.pop(name, None)
+        self.recently_listed[name] = None
+        if len(self.recently_listed) > MAX_RECENTLY_LISTED:
+            del self.recently_listed[next(iter(self.recently_listed))]
         if address is not None:
             self.addresses[cache] = address
         # Told again, a start keeps its place on our clock: else a step of the system's clock looks like one.
@@ -151,14 +157,21 @@
             self.started[cache] = (up, start)
         kind = self._kinds.index(m["flavor"]) if m.get("flavor") in self._kinds else None
         zones = self._hubs if kind in self._at_hubs else self._offices
-        return w.Member(cache, weight, start, zones.get(str(m.get("locality"))), state, cell, kind,
-                        "{}:{}@{}".format(*self.addresses.get(cache, ("", 0)), up))
+        return w.Member(
+            cache,
+            weight,
+            start,
+            zones.get(str(m.get("locality"))),
+            state,
+            cell,
+            kind,
+            "{}:{}@{}".format(*self.addresses.get(cache, ("", 0)), up),
+        )
 
     def _flush(self, flush: Any) -> w.Purged:
         age = max(self._now() - self._from_unix_ms(int(flush["ms"])), 0)
         if "asset" in flush:
             if not OBJECT.fullmatch(str(flush["asset"])):
-                raise BadNotice("asset is not 16 hex digits")
+                raise InvalidEvent("asset is not 16 hex digits")
             return w.Purged(str(flush["asset"]), None, age)
         return w.Purged(None, int(flush["collection"]), age)
-
--- a/olivecourse/told/config.py
+++ b/olivecourse/config/gateway_config.py
@@ -12,15 +12,17 @@
 import yaml
 
 from olivecourse import interface as w
-from olivecourse.told.address import Address, parse_address
-from olivecourse.told.inventory import BadInventory, read_inventory
-from olivecourse.told.settings import Malformed, check, nested_pairs, read_settings, unread
-from olivecourse.told.vocabulary import DOORS
+from olivecourse.config.address import Address, parse_address
+from olivecourse.config.inventory import BadInventory, read_inventory
+from olivecourse.config.settings import Malformed, check, nested_pairs, read_settings, unread
+from olivecourse.config.vocabulary import DOORS
 
 # Sections of an operator's file, and what reads each from the file at a path.
-SECTIONS = {"memory": "olivecourse.memory.section:read_memory",
-            "rollout": "olivecourse.rollout.section:read_rollout",
-            "storms": "olivecourse.storm.section:read_storms"}
+SECTIONS = {
+    "memory": "olivecourse.memory.section:read_memory",
+    "rollout": "olivecourse.rollout.section:read_rollout",
+    "storms": "olivecourse.storm.section:read_storms",
+}
 
 
 class BadConfig(Exception):
@@ -94,18 +96,26 @@
         bounds, known, limits = nested.get("limits", {}), raw.get("known", {}), raw.get("limits", {})
         check(settings)
         return Config(
-            name=env.get("EDGE_NAME") or str(raw.get("name", "gateway")), listen=listen, settings=settings,
-            zones=list(nested.get("zones", ())), kinds=list(nested.get("kinds", ())),
+            name=env.get("EDGE_NAME") or str(raw.get("name", "gateway")),
+            listen=listen,
+            settings=settings,
+            zones=list(nested.get("zones", ())),
+            kinds=list(nested.get("kinds", ())),
             connect_ns=int(bounds.get("connect_timeout_ns", 400_000_000)),
             idle_ns=int(bounds.get("conn_idle_ns", 15_000_000_000)),
             streams=max(int(bounds.get("streams_per_conn", 100)), 1),
-            rev=int(known.get("rev", 0)), notices=list(known.get("notices", ())),
-            sockets=int(limits.get("sockets", 1024)), memory_mb=int(limits.get("memory_mb", 192)),
+            rev=int(known.get("rev", 0)),
+            notices=list(known.get("notices", ())),
+            sockets=int(limits.get("sockets", 1024)),
+            memory_mb=int(limits.get("memory_mb", 192)),
             board=_address(raw, "board"),
-            doors=_doors(raw, env), unread=unread(nested_pairs(nested)),
+            doors=_doors(raw, env),
+            unread=unread(nested_pairs(nested)),
             tmpdir=env.get("TMPDIR"),
             peer_listen=_address(raw, "peer_listen"),
-            peers=[parse_address(p) for p in raw.get("peers", ())], peers_all=_address(raw, "peers_all"))
+            peers=[parse_address(p) for p in raw.get("peers", ())],
+            peers_all=_address(raw, "peers_all"),
+        )
     except Malformed as error:
         raise BadConfig(f"settings: {error}") from None
     except (ValueError, TypeError, AttributeError) as error:
@@ -130,7 +140,7 @@
 
 def _sections(path: str, raw: dict[str, Any]) -> dict[str, Any]:
     """The sections that the file has, each read by its own package, which is loaded only then."""
-    from olivecourse.told.sections import BadSection
+    from olivecourse.config.sections import BadSection
 
     found = {}
     for name, reader in SECTIONS.items():
@@ -172,8 +182,14 @@
         inventory = str(here / raw["inventory"])
         notice = read_inventory(inventory, config.zones, config.kinds)
         planner = raw.get("planner")
-        return replace(config, signed=front, inventory=inventory, notices=[notice, *config.notices],
-                       planner=str(here / planner) if planner else None, sections=_sections(path, raw))
+        return replace(
+            config,
+            signed=front,
+            inventory=inventory,
+            notices=[notice, *config.notices],
+            planner=str(here / planner) if planner else None,
+            sections=_sections(path, raw),
+        )
     except (BadConfig, BadInventory) as error:
         text = str(error)  # which may name the file and a line of it already
         raise BadConfig(text if text.startswith(f"{path}:") else f"{path}: {text}") from None
--- a/olivecourse/told/inventory.py
+++ b/olivecourse/config/inventory.py
@@ -13,7 +13,7 @@
 
 import yaml
 
-from olivecourse.told.address import parse_address
+from olivecourse.config.address import parse_address
 
 NEEDED, MAY = ("name", "address", "zone", "kind"), ("size", "cell", "state")
 STATES = {"ready": "Ready", "draining": "Terminating", "gone": "Gone"}
@@ -35,8 +35,9 @@
         member = _member(f"{path}:{line}", row, zones, kinds)
         for what, seen in (("id", names), ("host_port", addresses)):
             if member[what] in seen:
-                raise BadInventory(f"{path}:{line}: {member[what]} stands at "
-                                   f"line {seen[member[what]]} already")
+                raise BadInventory(
+                    f"{path}:{line}: {member[what]} stands at line {seen[member[what]]} already"
+                )
             seen[member[what]] = line
         members.append(member)
     if not members:
@@ -100,5 +101,13 @@
             raise ValueError(f"size {size} is out of range")
     except ValueError as error:
         raise BadInventory(f"{where}: {error}") from None
-    return {"id": text["name"], "host_port": text["address"], "locality": text["zone"],
-            "flavor": text["kind"], "cell": cell, "phase": STATES[state], "size": size, "up_since_ms": 0}
+    return {
+        "id": text["name"],
+        "host_port": text["address"],
+        "locality": text["zone"],
+        "flavor": text["kind"],
+        "cell": cell,
+        "phase": STATES[state],
+        "size": size,
+        "up_since_ms": 0,
+    }
--- a/olivecourse/told/merging.py
+++ b/olivecourse/config/merging.py
@@ -13,8 +13,17 @@
 
 MOST_CLASSES = 256  # names of classes in the life of a process: each has its counts and means for good
 # What a gateway is, and where: parts of it were laid out by these.
-FIXED = ("me", "routers", "zone", "zones", "zone_hub", "zone_routers", "ask_discovery", "parent_kind",
-         "origin_kind")
+FIXED = (
+    "me",
+    "routers",
+    "zone",
+    "zones",
+    "zone_hub",
+    "zone_routers",
+    "ask_discovery",
+    "parent_kind",
+    "origin_kind",
+)
 OWN = ("seed", "classes")  # the first is another at every start, the second is merged
 
 
@@ -45,8 +54,11 @@
             classes.append(cls)
     if len(classes) > MOST_CLASSES:
         raise Unfit(f"more than {MOST_CLASSES} names of classes since the start: restart")
-    differs = [f.name for f in fields(Settings)
-               if f.name not in OWN and getattr(old, f.name) != getattr(fresh, f.name)]
+    differs = [
+        f.name
+        for f in fields(Settings)
+        if f.name not in OWN and getattr(old, f.name) != getattr(fresh, f.name)
+    ]
     waits = [name for name in differs if name in FIXED]
     kept = {name: getattr(old, name) for name in (*waits, "seed")}
     merged = replace(fresh, **kept, classes=tuple(classes))
--- a/olivecourse/told/settings.py
+++ b/olivecourse/config/settings.py
@@ -31,24 +31,39 @@
 
 # Where each setting stands in the start message.
 SETTINGS: dict[str, tuple[str, Convert]] = {
-    "me": ("me", int), "routers": ("instances", int), "zone": ("az", int), "zones": ("zones", read_list(str)),
+    "me": ("me", int),
+    "routers": ("instances", int),
+    "zone": ("az", int),
+    "zones": ("zones", read_list(str)),
     "zone_hub": ("family_info.zone_hub", read_list(int)),
     "zone_routers": ("family_info.seats_by_zone", read_list(int)),
     "zone_link_kb_per_s": ("family_info.pipe_kb_per_s", read_list(float)),
-    "ask_discovery": ("discovery", lambda v: v == "ask"), "ask_every_ns": ("contract.ask_every_ns", int),
-    "tick_ns": ("period_ns", int), "parent_kind": ("family_info.mid_kind", int),
-    "origin_kind": ("family_info.source_kind", int), "direct": ("family_info.may_pass_by", read_flag),
-    "joins": ("family_info.joins", read_flag), "siblings": ("family_info.siblings", str),
-    "notes": ("family_info.notes_given", str), "client_kb_per_s": ("family_info.client_kb_per_s", float),
-    "weights": ("weight_kind", str), "report_fields": ("stats.fields", read_list(str)),
-    "report_how": ("stats.how", str), "cancel": ("limits.cancel", read_flag),
+    "ask_discovery": ("discovery", lambda v: v == "ask"),
+    "ask_every_ns": ("contract.ask_every_ns", int),
+    "tick_ns": ("period_ns", int),
+    "parent_kind": ("family_info.mid_kind", int),
+    "origin_kind": ("family_info.source_kind", int),
+    "direct": ("family_info.may_pass_by", read_flag),
+    "joins": ("family_info.joins", read_flag),
+    "siblings": ("family_info.siblings", str),
+    "notes": ("family_info.notes_given", str),
+    "client_kb_per_s": ("family_info.client_kb_per_s", float),
+    "weights": ("weight_kind", str),
+    "report_fields": ("stats.fields", read_list(str)),
+    "report_how": ("stats.how", str),
+    "cancel": ("limits.cancel", read_flag),
     "probes": ("limits.probes", read_flag),
-    "second_copies": ("limits.second_copies", read_flag), "retry_after": ("limits.retry_after", read_flag),
-    "max_retry_after_ns": ("limits.max_retry_after_ns", int), "max_attempts": ("limits.max_attempts", int),
+    "second_copies": ("limits.second_copies", read_flag),
+    "retry_after": ("limits.retry_after", read_flag),
+    "max_retry_after_ns": ("limits.max_retry_after_ns", int),
+    "max_attempts": ("limits.max_attempts", int),
     "answer_slack_ns": ("contract.grace_to_answer_ns", int),
-    "drain_grace_ns": ("contract.stop_sending_within_ns", int), "cold_from": ("contract.cold_from", float),
-    "cold_ns": ("contract.cold_ns", int), "fall_multiple": ("contract.tip_multiple", float),
-    "fall_ns": ("contract.overload_for_ns", int), "parent_cold_from": ("family_info.parent_floor", float),
+    "drain_grace_ns": ("contract.stop_sending_within_ns", int),
+    "cold_from": ("contract.cold_from", float),
+    "cold_ns": ("contract.cold_ns", int),
+    "fall_multiple": ("contract.tip_multiple", float),
+    "fall_ns": ("contract.overload_for_ns", int),
+    "parent_cold_from": ("family_info.parent_floor", float),
     "parent_cold_ns": ("family_info.parent_ramp_ns", int),
     "parent_fall_multiple": ("family_info.parent_limit_factor", float),
     "origin_fall_multiple": ("family_info.origin_fall_multiple", float),
@@ -57,19 +72,29 @@
     "purge_settles_ns": ("family_info.purge_settles_ns", int),
     "marks_retry": ("client_habits.marks_retry", read_flag),
     "price_fill": ("family_info.transit_price", float),
-    "price_origin": ("fees.origin", float), "price_waste": ("fees.waste", float),
-    "price_probe": ("fees.probe", float), "price_late_fail": ("fees.late_fail", float),
+    "price_origin": ("fees.origin", float),
+    "price_waste": ("fees.waste", float),
+    "price_probe": ("fees.probe", float),
+    "price_late_fail": ("fees.late_fail", float),
 }
 CLASS: dict[str, tuple[str, Convert]] = {
-    "name": ("name", str), "aim_ns": ("on_time_ns", int), "aim_stretch": ("aim_stretch", float),
-    "deadline_ns": ("deadline_ns", int), "worth": ("worth", float), "late_worth": ("late_worth", float),
-    "effect": ("effect", w.Effect), "key_scope": ("key_scope", w.Scope),
-    "key_memory_ns": ("memory_span_ns", int), "streamed": ("streamed", read_flag),
+    "name": ("name", str),
+    "aim_ns": ("on_time_ns", int),
+    "aim_stretch": ("aim_stretch", float),
+    "deadline_ns": ("deadline_ns", int),
+    "worth": ("worth", float),
+    "late_worth": ("late_worth", float),
+    "effect": ("effect", w.Effect),
+    "key_scope": ("key_scope", w.Scope),
+    "key_memory_ns": ("memory_span_ns", int),
+    "streamed": ("streamed", read_flag),
 }
 # Per-class lists that the start message keeps apart from the classes.
 CLASS_LISTS: dict[str, tuple[str, Convert]] = {
-    "fresh_ns": ("family_info.max_age_ns", int), "stale_grace_ns": ("family_info.grace_for_ns", int),
-    "stale_worth": ("family_info.stale_earns", float), "write": ("family_info.never_kept", read_flag),
+    "fresh_ns": ("family_info.max_age_ns", int),
+    "stale_grace_ns": ("family_info.grace_for_ns", int),
+    "stale_worth": ("family_info.stale_earns", float),
+    "write": ("family_info.never_kept", read_flag),
 }
 
 
@@ -101,8 +126,13 @@
     return w.Settings(seed=seed, classes=tuple(classes), **_pick(conf, SETTINGS))
 
 
-READ_ELSEWHERE = {"kinds", "profiles.count", "limits.connect_timeout_ns", "limits.conn_idle_ns",
-                  "limits.streams_per_conn"}
+READ_ELSEWHERE = {
+    "kinds",
+    "profiles.count",
+    "limits.connect_timeout_ns",
+    "limits.conn_idle_ns",
+    "limits.streams_per_conn",
+}
 MOST_UNREAD = 40  # names that are told of
 
 
@@ -111,8 +141,10 @@
     known = READ_ELSEWHERE | {path for path, _ in (*SETTINGS.values(), *CLASS_LISTS.values())}
     known |= {f"profiles.*.{path}" for path, _ in CLASS.values()}
     paths = (pair.partition("=")[0] for pair in pairs)
-    plain = ("profiles.*." + p.split(".", 2)[2] if p.startswith("profiles.") and p.count(".") > 1 else p
-             for p in paths)
+    plain = (
+        "profiles.*." + p.split(".", 2)[2] if p.startswith("profiles.") and p.count(".") > 1 else p
+        for p in paths
+    )
     return tuple(sorted(set(plain) - known))[:MOST_UNREAD]
 
 
@@ -136,7 +168,8 @@
             value = getattr(told, field.name)
             for one in value if isinstance(value, tuple) else (value,):
                 if isinstance(one, int | float) and not (
-                        math.isfinite(one) and (one >= 0 or field.name in NONE_OF_THE_KIND)):
+                    math.isfinite(one) and (one >= 0 or field.name in NONE_OF_THE_KIND)
+                ):
                     raise Malformed(f"{place}{field.name} is {one}")
     for c in settings.classes:
         if not c.deadline_ns:
--- a/olivecourse/told/vocabulary.py
+++ b/olivecourse/config/vocabulary.py
@@ -60,5 +60,11 @@
 IDEMPOTENCY_KEY, STORE_IDEMPOTENCY_KEY = "k", "op"
 
 # Fields of load reports: the settings name them by the right-hand words, stores may write either.
-REPORTED: dict[str, str] = {"inflight": "active", "queue": "waiting", "util": "cpu", "latency_ms": "avg_ms",
-                            "qps": "rps", "eps": "err_rps"}
+REPORTED: dict[str, str] = {
+    "inflight": "active",
+    "queue": "waiting",
+    "util": "cpu",
+    "latency_ms": "avg_ms",
+    "qps": "rps",
+    "eps": "err_rps",
+}
--- a/olivecourse/fronts/listener.py
+++ b/olivecourse/fronts/listener.py
@@ -12,10 +12,10 @@
 from typing import Any, Protocol
 
 from olivecourse import interface as w
+from olivecourse.config.address import Address
 from olivecourse.net.loop import READ, Loop
 from olivecourse.net.ringbuf import ROOMY
 from olivecourse.net.stream import READS, Stream, listen
-from olivecourse.told.address import Address
 
 MS = 1_000_000
 SWEEP_NS = 200 * MS
--- a/olivecourse/fronts/signed.py
+++ b/olivecourse/fronts/signed.py
@@ -15,12 +15,12 @@
 import httptools
 
 from olivecourse import interface as w
+from olivecourse.config.address import Address
 from olivecourse.core.ledger import Crowded, Duplicate
 from olivecourse.fronts.listener import Client, Listener, Taker
 from olivecourse.fronts.thrift import MOST_WRITE, BadRequest, read_request
 from olivecourse.fronts.tokens import Rejected, Tokens
 from olivecourse.net.loop import Loop
-from olivecourse.told.address import Address
 
 MS = 1_000_000
 MOST_HEAD = 16_384
--- a/olivecourse/fronts/thrift.py
+++ b/olivecourse/fronts/thrift.py
@@ -9,6 +9,8 @@
 from thrift.Thrift import TApplicationException, TMessageType
 
 from olivecourse import interface as w
+from olivecourse.config.address import Address
+from olivecourse.config.vocabulary import IDEMPOTENCY_KEY
 from olivecourse.core.ledger import Crowded, Duplicate
 from olivecourse.fronts.codec import (
     METHODS,
@@ -28,8 +30,6 @@
 from olivecourse.fronts.listener import Client, Handed, Heir, Listener, Taker
 from olivecourse.net.loop import Loop
 from olivecourse.net.ringbuf import BufferFull
-from olivecourse.told.address import Address
-from olivecourse.told.vocabulary import IDEMPOTENCY_KEY
 
 MS = 1_000_000
 MOST_WRITE = 48_000
--- a/olivecourse/gateway.py
+++ b/olivecourse/gateway.py
@@ -13,6 +13,9 @@
 from typing import TYPE_CHECKING, Any, TypeVar
 
 from olivecourse import interface as w
+from olivecourse.config.discovery_events import InvalidEvent, ServerDirectory
+from olivecourse.config.gateway_config import Config
+from olivecourse.config.merging import Merged, merge
 from olivecourse.core.descriptors import split
 from olivecourse.core.ledger import Ledger
 from olivecourse.core.planner import Planner
@@ -24,9 +27,6 @@
 from olivecourse.net.stores import Limits, Pool
 from olivecourse.net.wheel import Timer
 from olivecourse.parts import Part, parts_of
-from olivecourse.told.config import Config
-from olivecourse.told.merging import Merged, merge
-from olivecourse.told.notices import BadNotice, Directory
 
 if TYPE_CHECKING:
     from olivecourse.fronts.tokens import Tokens
@@ -66,7 +66,8 @@
         self._merged: Merged | None = None  # the last reload's settings
         self.fronts: list[Listener] = []  # none yet while the parts before them start
         s = config.settings
-        self.directory = Directory(config.zones, config.kinds, s, loop.clock.from_unix_ms, loop.clock.now)
+        clock = loop.clock
+        self.directory = ServerDirectory(config.zones, config.kinds, s, clock.from_unix_ms, clock.now)
         self.started = loop.clock.now()
         self.conf_loaded, self.conf_invalid = 1, 0
         self.ledger = Ledger(s, LoopTimers(loop), self.batch.append, log, most=4096)
@@ -88,14 +89,14 @@
             for part in self.parts:
                 part.teach(self.local)
             self.carry_out(self.local.start())
-        self.told(config.notices, first=True)
+        self.on_events(config.notices, first=True)
         if config.planner is not None:
             self.batch.clear()  # told anew to every planner that is found
             self.remote = RemotePlanner(loop, config.planner, self.carry_out, self.greet, self._alone, log)
         self.decide()
         self.discovery: DiscoveryClient | None = None
         if config.board is not None:
-            self.discovery = DiscoveryClient(loop, config.board, config.rev, self.told, log)
+            self.discovery = DiscoveryClient(loop, config.board, config.rev, self.on_events, log)
         self.tokens: Tokens | None = None
         self.spent: DurableSpent | None = None
         self.front: Listener = self._front()
@@ -201,7 +202,7 @@
         if self.discovery is not None and fresh.board is not None:
             self.discovery.move(fresh.board)
         elif fresh.board is not None:
-            self.discovery = DiscoveryClient(self.loop, fresh.board, old.rev, self.told, self.log)
+            self.discovery = DiscoveryClient(self.loop, fresh.board, old.rev, self.on_events, self.log)
         elif self.discovery is not None:  # told nothing any more, but the number is kept for a board to come
             self.discovery.stop()
             self.config = replace(self.config, rev=self.discovery.rev)
@@ -246,8 +247,8 @@
     def greet(self) -> None:
         """A planner that has just been found knows nothing: tell it the stores and the purges that bind."""
         now = self.loop.clock.now()
-        self.batch.append(w.CacheList(0, w.ListKind.HELD,
-                                      tuple(map(self.directory.shown, self.directory.members.values()))))
+        members = map(self.directory.effective_member, self.directory.members.values())
+        self.batch.append(w.CacheList(0, w.ListKind.HELD, tuple(members)))
         for key, at in self.purges.items():
             news = w.Purged(key, None, now - at) if isinstance(key, str) else w.Purged(None, key, now - at)
             self.batch.append(news)
@@ -291,17 +292,17 @@
     def emit(self, event: w.Event) -> None:
         self.batch.append(event)
 
-    def told(self, notices: list[Any], first: bool = False) -> None:
-        for notice in notices:
+    def on_events(self, events: list[Any], first: bool = False) -> None:
+        for raw in events:
             try:
-                for event in self.directory.events(notice, first):
+                for event in self.directory.events(raw, first):
                     if isinstance(event, w.Purged):
                         self.ledger.purge(event)
                         self._remember(event)
                     self.batch.append(event)
-            except BadNotice as bad:
+            except InvalidEvent as bad:
                 self.log("discovery_event_invalid", why=str(bad))
-        ended, self.directory.ended = self.directory.ended, {}
+        ended, self.directory.terminated_at = self.directory.terminated_at, {}
         for cache, when in ended.items():
             self.pool.drop(cache, when)
 
--- a/olivecourse/memory/commands.py
+++ b/olivecourse/memory/commands.py
@@ -17,6 +17,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from olivecourse.config.gateway_config import BadConfig, load_operator
 from olivecourse.memory import codec, container
 from olivecourse.memory.ageing import Elapsed, Kind, Policy, elapsed
 from olivecourse.memory.container import Unusable, derive_key
@@ -28,7 +29,6 @@
 from olivecourse.memory.section import MemoryConfig, MemorySection
 from olivecourse.memory.tokenstore import PART as TOKENS
 from olivecourse.memory.tokenstore import About, BadStore, Store, probe
-from olivecourse.told.config import BadConfig, load_operator
 
 EMPTY, WRONG, IN_USE = 1, 2, 3
 
--- a/olivecourse/memory/section.py
+++ b/olivecourse/memory/section.py
@@ -8,9 +8,9 @@
 
 import msgspec
 
+from olivecourse.config.sections import BadSection, read_section
 from olivecourse.memory.ageing import DEFAULTS, Decay, Kind, Policy, S
 from olivecourse.memory.container import derive_key
-from olivecourse.told.sections import BadSection, read_section
 
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=30 * 86_400)]
 
--- a/olivecourse/net/discovery_client.py
+++ b/olivecourse/net/discovery_client.py
@@ -8,10 +8,10 @@
 
 import httptools
 
+from olivecourse.config.address import Address
 from olivecourse.net.loop import Loop
 from olivecourse.net.stream import Stream
 from olivecourse.net.wheel import Timer
-from olivecourse.told.address import Address
 
 MS = 1_000_000
 # Short, so that a connection cut off in silence is noticed well before the 7 s are over.
--- a/olivecourse/net/peers.py
+++ b/olivecourse/net/peers.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 
 from olivecourse import interface as w
+from olivecourse.config.address import Address
 from olivecourse.net.loop import READ, Loop
-from olivecourse.told.address import Address
 
 MOST = 256  # a longer datagram breaks the protocol
 READS = 64
--- a/olivecourse/net/stores.py
+++ b/olivecourse/net/stores.py
@@ -9,12 +9,12 @@
 from dataclasses import dataclass
 
 from olivecourse import interface as w
+from olivecourse.config.address import Address
+from olivecourse.config.discovery_events import ServerDirectory
+from olivecourse.config.vocabulary import REPORTED, STORE_IDEMPOTENCY_KEY
 from olivecourse.core.ledger import Attempt, Ledger
 from olivecourse.net.loop import Loop
 from olivecourse.net.stream import Stream
-from olivecourse.told.address import Address
-from olivecourse.told.notices import Directory
-from olivecourse.told.vocabulary import REPORTED, STORE_IDEMPOTENCY_KEY
 
 MS = 1_000_000
 MOST_LINE = 2048
@@ -274,8 +274,8 @@
 class Pool:
     """All connections to all stores; bounded by the descriptor limit."""
 
-    def __init__(self, loop: Loop, directory: Directory, ledger: Ledger, limits: Limits, classes: list[str],
-                 reports: tuple[str, ...], log: Callable[..., None]) -> None:
+    def __init__(self, loop: Loop, directory: ServerDirectory, ledger: Ledger, limits: Limits,
+                 classes: list[str], reports: tuple[str, ...], log: Callable[..., None]) -> None:
         """`reports` names the fields of load reports, none where answers hold none."""
         self.reports = reports
         self.loop, self.directory, self.ledger, self.limits = loop, directory, ledger, limits
--- a/olivecourse/net/stream.py
+++ b/olivecourse/net/stream.py
@@ -6,9 +6,9 @@
 import os
 import socket
 
+from olivecourse.config.address import Address
 from olivecourse.net.loop import READ, WRITE, Loop
 from olivecourse.net.ringbuf import BufferFull, RingBuffer
-from olivecourse.told.address import Address
 
 READS = 16  # a turn's reads from one connection: a flood on one must not starve the others
 
--- a/olivecourse/ops/calls.py
+++ b/olivecourse/ops/calls.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 from urllib.parse import unquote
 
-from olivecourse.told.vocabulary import CALLS, Call
+from olivecourse.config.vocabulary import CALLS, Call
 
 MOST_BODY = 4096  # bytes; an id is far shorter
 MOST_ID = 256  # characters
--- a/olivecourse/ops/commands.py
+++ b/olivecourse/ops/commands.py
@@ -8,7 +8,7 @@
 
 import click
 
-from olivecourse.told.address import parse_address
+from olivecourse.config.address import parse_address
 
 PATIENCE_S = 5.0  # the door owes its answer within one second
 
--- a/olivecourse/ops/desk.py
+++ b/olivecourse/ops/desk.py
@@ -7,12 +7,12 @@
 from typing import Protocol
 
 from olivecourse import interface as w
+from olivecourse.config.discovery_events import ServerDirectory
 from olivecourse.core.ledger import Ledger
 from olivecourse.net.stores import Pool
 from olivecourse.ops.bans import GATEWAY, Bans, Word
 from olivecourse.ops.calls import Reply
 from olivecourse.ops.figures import Figures
-from olivecourse.told.notices import Directory
 
 
 class Owner(Protocol):
@@ -37,15 +37,15 @@
 
 
 class GatewayDesk:
-    def __init__(self, owner: Owner, classes: list[str], ledger: Ledger, pool: Pool, directory: Directory,
-                 log: Callable[..., None]) -> None:
+    def __init__(self, owner: Owner, classes: list[str], ledger: Ledger, pool: Pool,
+                 directory: ServerDirectory, log: Callable[..., None]) -> None:
         self.classes = classes
         self._owner, self._ledger, self._pool, self._directory = owner, ledger, pool, directory
         self._log = log
         self.bans = Bans(time.time_ns)
         self.spoken: Callable[[], None] = lambda: None  # after a call that changed a ban
         self.others: list[Callable[[str, str, bytes], Reply | None]] = []  # calls that parts have at the door
-        directory.out = self.bans.out
+        directory.manually_drained = self.bans.out
         self._figures = Figures(self)
 
     # Calls -------------------------------------------------------------------------------------------
@@ -57,7 +57,8 @@
         return self._figures.text()
 
     def listed(self, store: str) -> bool:
-        return (store in self._directory.heard_of or store in self.bans.words  # said to the process before
+        said_before = store in self.bans.words  # to the process before this one
+        return (store in self._directory.recently_listed or said_before
                 or store in self._directory.names.values())
 
     def set_out(self, store: str, out: bool) -> None:
@@ -92,7 +93,7 @@
                 self._owner.drain(out)
                 continue
             self._log("store_out_by_hand" if out else "store_back_by_hand", store=store)
-            event = self._directory.shown_again(store)
+            event = self._directory.effective_change(store)
             if event is not None:
                 self._owner.emit(event)
 
--- a/olivecourse/ops/door.py
+++ b/olivecourse/ops/door.py
@@ -8,10 +8,10 @@
 
 import httptools
 
+from olivecourse.config.address import Address
 from olivecourse.net.loop import READ, Loop
 from olivecourse.net.stream import Stream, listen
 from olivecourse.ops.calls import MOST_BODY, BadCall, Desk, Reply, answer
-from olivecourse.told.address import Address
 
 MS = 1_000_000
 MOST_CALLERS = 16  # connections at once; a newcomer closes the oldest
--- a/olivecourse/ops/figures.py
+++ b/olivecourse/ops/figures.py
@@ -8,7 +8,7 @@
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.metrics_core import CounterMetricFamily, GaugeMetricFamily, Metric
 
-from olivecourse.told import vocabulary as words
+from olivecourse.config import vocabulary as words
 
 
 class Source(Protocol):
--- a/olivecourse/parts.py
+++ b/olivecourse/parts.py
@@ -11,19 +11,19 @@
 from typing import TYPE_CHECKING, Any, Protocol, TypeVar
 
 from olivecourse import interface as w
+from olivecourse.config.gateway_config import Config
+from olivecourse.config.inventory import BadInventory, read_inventory
 from olivecourse.core.planner import Planner
 from olivecourse.fronts.listener import Listener
 from olivecourse.net.loop import Loop
 from olivecourse.net.peers import Peers
-from olivecourse.told.config import Config
-from olivecourse.told.inventory import BadInventory, read_inventory
 
 if TYPE_CHECKING:
     import socket
 
+    from olivecourse.config.discovery_events import ServerDirectory
     from olivecourse.core.ledger import Ledger
     from olivecourse.net.stores import Pool
-    from olivecourse.told.notices import Directory
 
 MS = 1_000_000
 FILES_NS = 1_000 * MS  # between two looks at the operator's files
@@ -38,13 +38,13 @@
     log: Callable[..., None]
     ledger: Ledger
     pool: Pool
-    directory: Directory
+    directory: ServerDirectory
     conf_loaded: int
     conf_invalid: int
 
     def emit(self, event: w.Event) -> None: ...
 
-    def told(self, notices: list[Any], first: bool = False) -> None: ...
+    def on_events(self, events: list[Any], first: bool = False) -> None: ...
 
     def share(self, shared: bool) -> None: ...
 
@@ -269,7 +269,7 @@
             seen = stamp(config.inventory)
             if config.inventory is not None and seen != self.inventory_seen:
                 self.inventory_seen = seen
-                host.told([read_inventory(config.inventory, config.zones, config.kinds)])
+                host.on_events([read_inventory(config.inventory, config.zones, config.kinds)])
                 host.log("inventory_read", stores=len(host.directory.members))
             seen = stamp(self._keys())
             if seen != self.keys_seen:
--- a/olivecourse/rollout/commands.py
+++ b/olivecourse/rollout/commands.py
@@ -12,7 +12,7 @@
 
 import click
 
-from olivecourse.told.address import parse_address
+from olivecourse.config.address import parse_address
 
 PATIENCE_S = 5.0  # the door owes its answer within one second
 TICKET_S = 6.0  # a word that no majority has answered by then may still come true: look at the status
@@ -118,9 +118,9 @@
 def init(operator: str, name: str) -> None:
     """Mark the folder as a member's of a fleet that starts now. Once for each member, and never for one that
     takes another's place: that one catches up by itself."""
+    from olivecourse.config.sections import BadSection
     from olivecourse.rollout.section import read_rollout
     from olivecourse.rollout.store import Disk, NoFolder
-    from olivecourse.told.sections import BadSection
 
     try:
         config = read_rollout(operator)
@@ -142,8 +142,8 @@
     """Read a release's plan from a YAML FILE and propose it; nothing starts yet."""
     import msgspec
 
+    from olivecourse.config.sections import BadSection, read_section
     from olivecourse.rollout.section import PlanText
-    from olivecourse.told.sections import BadSection, read_section
 
     try:
         found = read_section(file, "release", PlanText)
--- a/olivecourse/rollout/part.py
+++ b/olivecourse/rollout/part.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from olivecourse import interface as w
+from olivecourse.config.sections import BadSection
 from olivecourse.core.planner import Planner
 from olivecourse.fronts.listener import Listener
 from olivecourse.net.loop import READ
@@ -35,7 +36,6 @@
 from olivecourse.rollout.section import PlanText, RolloutConfig
 from olivecourse.rollout.store import SEEN_S, Disk, Held, NoFolder, Torn
 from olivecourse.rollout.wire import MOST, BadDatagram, Wire
-from olivecourse.told.sections import BadSection
 
 MS, S = 1_000_000, 1_000_000_000
 TICK_NS = 20 * MS
@@ -224,7 +224,7 @@
             cold = store.ready_at_ns and now - store.ready_at_ns < ramp
             left = store.cache in self._left  # then the module's word is our own
             if (store.state is not w.State.READY or cold or host.directory.names.get(store.cache) in
-                    host.directory.out or store.cache in avoided and not left):
+                    host.directory.manually_drained or store.cache in avoided and not left):
                 out.setdefault(key, set()).add(store.cache)
         self.member.world.out = out
         self.member.world.cold_ns = {
@@ -241,8 +241,9 @@
         for item in out ^ self._left:
             name = self.host.directory.names.get(item)
             if name is not None:
-                (self.host.directory.placed.add if item in out else self.host.directory.placed.discard)(name)
-                event = self.host.directory.shown_again(name)
+                leased_out = self.host.directory.leased_out
+                (leased_out.add if item in out else leased_out.discard)(name)
+                event = self.host.directory.effective_change(name)
                 if event is not None:
                     self.host.emit(event)
         self._left = out
--- a/olivecourse/rollout/section.py
+++ b/olivecourse/rollout/section.py
@@ -9,11 +9,11 @@
 
 import msgspec
 
+from olivecourse.config.address import Address, parse_address
+from olivecourse.config.sections import BadSection, read_section
 from olivecourse.rollout.budgets import Budget
 from olivecourse.rollout.releases import Plan, flaws
 from olivecourse.rollout.wire import Keys
-from olivecourse.told.address import Address, parse_address
-from olivecourse.told.sections import BadSection, read_section
 
 MOST_GATEWAYS, MOST_MEMBERS = 512, 7
 Share = Annotated[float, msgspec.Meta(gt=0, le=1)]
--- a/olivecourse/service.py
+++ b/olivecourse/service.py
@@ -6,10 +6,10 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from olivecourse.config.gateway_config import Config
 from olivecourse.core.planner import Planner
 from olivecourse.net.loop import Loop
 from olivecourse.net.seam import PlannerServer
-from olivecourse.told.config import Config
 
 if TYPE_CHECKING:
     from olivecourse.memory.keeper import Keeper
--- a/olivecourse/storm/section.py
+++ b/olivecourse/storm/section.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
+from olivecourse.config.sections import read_section
 from olivecourse.storm.budgets import Share
 from olivecourse.storm.guard import MS, Policy
-from olivecourse.told.sections import read_section
 
 Level = Annotated[float, msgspec.Meta(ge=0, le=1)]
 
--- a/olivecourse/wirehost.py
+++ b/olivecourse/wirehost.py
@@ -10,8 +10,8 @@
 
 from olivecourse import interface as w
 from olivecourse.choice import Router
-from olivecourse.told.settings import Convert, Malformed, read_settings
-from olivecourse.told.settings import read_flag as _flag
+from olivecourse.config.settings import Convert, Malformed, read_settings
+from olivecourse.config.settings import read_flag as _flag
 
 
 def _flags(text: str) -> w.Flag:
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -8,9 +8,9 @@
 import time
 
 from olivecourse import interface as w
+from olivecourse.config.gateway_config import read_config
 from olivecourse.fronts import codec
 from olivecourse.gateway import Gateway
-from olivecourse.told.config import read_config
 
 OBJECT, REQUEST = "7f3a9c21e0b4d655", "9b1f03aa5c7e2d41"
 S = 1_000_000_000
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -11,10 +11,10 @@
 from test_ops import call, figures, total
 
 from benchmarks.deployments import run as run_deployments
+from olivecourse.config.gateway_config import BadConfig, read_config
+from olivecourse.config.merging import MOST_CLASSES
 from olivecourse.fronts import codec
 from olivecourse.parts import DoorPart
-from olivecourse.told.config import BadConfig, read_config
-from olivecourse.told.merging import MOST_CLASSES
 
 FIELDS = {"c": "fichiers", "i": REQUEST, "o": OBJECT, "d": "5000", "n": "0", "shard": "17"}
 HIT = f"{REQUEST} data version=aa,stamp=1,n=HIT 5\r\nhello\r\n".encode()
@@ -220,7 +220,7 @@
     try:
         members = twin.gateway.directory.members
         assert [members[n].zone for n in (1, 8, 9)] == [1, None, None], "no zone is named hub-nord any more"
-        twin.gateway.told([{"pool": {"members": [
+        twin.gateway.on_events([{"pool": {"members": [
             member("s-00000008", twin.parent.address, "parent", "edge-1")]}}])
         assert members[8].zone == 0
         client = twin.client()
--- a/tests/test_inventory.py
+++ b/tests/test_inventory.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from olivecourse.told.inventory import BadInventory, read_inventory
+from olivecourse.config.inventory import BadInventory, read_inventory
 
 HEAD = "name,address,zone,kind,size,cell,state\n"
 GOOD = "box-1,10.0.0.1:80,edge,petit,4,2,ready\n"
--- a/tests/test_library.py
+++ b/tests/test_library.py
@@ -42,6 +42,16 @@
     assert not calls & {"hash", "open", "print", "input", "set"}
 
 
+# What `ruff format` keeps: everything renamed or new; the rest follows as it is touched.
+FORMATTED = ("olivecourse/config", "olivecourse/net/discovery_client.py")
+
+
+def test_renamed_and_new_files_are_formatted():
+    done = subprocess.run([sys.executable, "-m", "ruff", "format", "--check", *FORMATTED], cwd=ROOT,
+                          capture_output=True, text=True)
+    assert done.returncode == 0, done.stdout + done.stderr
+
+
 def test_ruff_and_mypy_are_clean():
     for tool in (["ruff", "check", "."], ["mypy"]):
         done = subprocess.run([sys.executable, "-m", *tool], cwd=ROOT, capture_output=True, text=True)
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -20,6 +20,7 @@
 
 from olivecourse import interface as w
 from olivecourse.choice import Router
+from olivecourse.config.gateway_config import BadConfig, load_operator
 from olivecourse.memory import codec, container
 from olivecourse.memory.ageing import DEFAULTS, Decay, Elapsed, Policy, elapsed
 from olivecourse.memory.collect import GROUPS, MOST_PURGES, Watcher, collect
@@ -33,7 +34,6 @@
 from olivecourse.memory.section import MemoryConfig, MemorySection
 from olivecourse.memory.uptake import Uptake
 from olivecourse.net.loop import Loop
-from olivecourse.told.config import BadConfig, load_operator
 
 DATA = Path(__file__).parent / "data"
 POLICY = Policy(DEFAULTS)
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -157,12 +157,12 @@
     assert figures(stage)["app_cluster_unhealthy"] == 1
     address = stage.cache.address
     for phase, more in (("Ready", {}), ("Gone", {}), ("Ready", {"up_since_ms": int(time.time() * 1000)})):
-        stage.gateway.told([{"pool": {"revision": 2, "complete": False,
+        stage.gateway.on_events([{"pool": {"revision": 2, "complete": False,
                                       "members": [member("s-00000001", address, phase=phase, **more)]}}])
         client = stage.client()
         client.call(1, i=f"{phase.encode().hex()[:8]}{len(more):08x}")
         assert stage.until(lambda c=client: c.answers())[0][1] == "refused"
-    stage.gateway.told([{"pool": {"revision": 3, "complete": True, "members": [
+    stage.gateway.on_events([{"pool": {"revision": 3, "complete": True, "members": [
         member("s-00000001", address), member("s-00000008", stage.parent.address, "parent", "hub-nord"),
         member("s-00000009", stage.origin.address, "origin", "hub-nord")]}}])
     assert down(stage, "s-00000009") == down(stage, "s-00000008") == 200
@@ -179,7 +179,7 @@
 def test_a_store_restarted_while_it_was_out_comes_back_as_cold_as_it_is(stage):
     assert down(stage, "s-00000001") == 200
     told = int(time.time() * 1000)
-    stage.gateway.told([{"pool": {"revision": 4, "complete": False, "members": [
+    stage.gateway.on_events([{"pool": {"revision": 4, "complete": False, "members": [
         member("s-00000001", stage.cache.address, up_since_ms=told)]}}])
     assert down(stage, "s-00000001", "up") == 200
     stage.turn()
@@ -228,7 +228,7 @@
 def test_without_a_door_nothing_of_it_is_there():
     stage = Stage()
     try:
-        assert stage.gateway.part(DoorPart) is None and stage.gateway.directory.shown(
+        assert stage.gateway.part(DoorPart) is None and stage.gateway.directory.effective_member(
             w.Member(1, 1.0)) == w.Member(1, 1.0)
     finally:
         stage.close()
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -14,6 +14,7 @@
 
 from benchmarks._fleet import Fleet as Processes
 from benchmarks.rollout import play as play_processes
+from olivecourse.config.sections import BadSection
 from olivecourse.modelcheck.explorer import explore
 from olivecourse.modelcheck.places import FAULTS, NARROW, Model, hunt
 from olivecourse.rollout.agent import Stage as At
@@ -26,7 +27,6 @@
 from olivecourse.rollout.section import read_rollout
 from olivecourse.rollout.store import Disk, Held, Torn
 from olivecourse.rollout.wire import MOST, BadDatagram, Keys, Wire
-from olivecourse.told.sections import BadSection
 
 PLAN = Plan("v2", "v1", (20, 60, 100), 0.5, False)
 
@@ -429,7 +429,7 @@
     assert done.stdout.strip() == "[]", done.stdout + done.stderr
     stage = Stage()
     try:
-        assert not stage.gateway.directory.placed and GATES not in str(stage.gateway.parts)
+        assert not stage.gateway.directory.leased_out and GATES not in str(stage.gateway.parts)
     finally:
         stage.close()
 
--- a/tests/test_signed.py
+++ b/tests/test_signed.py
@@ -7,9 +7,9 @@
 import pytest
 from stage import OBJECT, SETTINGS, Client, Stage
 
+from olivecourse.config.gateway_config import BadConfig, load_operator
 from olivecourse.fronts import tokens
 from olivecourse.parts import FilesPart
-from olivecourse.told.config import BadConfig, load_operator
 
 PUBLIC = "https://calendriers.example"
 PATH = f"/fichiers/{OBJECT}/0?shard=17&kb=41.5"
--- a/tests/test_spent.py
+++ b/tests/test_spent.py
@@ -12,12 +12,12 @@
 from test_memory import Kept, fixed
 from test_signed import ORDER, SignedStage
 
+from olivecourse.config.gateway_config import load_operator
 from olivecourse.fronts.tokens import Rejected
 from olivecourse.memory.grouping import Group, Spending, State, Verdict
 from olivecourse.memory.section import MemoryConfig, MemorySection, TokensSection
 from olivecourse.memory.tokenstore import DurableSpent, Store, mark_of
 from olivecourse.parts import MemoryPart
-from olivecourse.told.config import load_operator
 
 MS = 1_000_000
 marks = st.sampled_from([b"a", b"b", b"c", b"d"])
