--- /dev/null
+++ b/olivecourse/relay/history.py
@@ -0,0 +1,328 @@
+"""A relay's bounded history: a folded base and a run of the newest events after it, as a snapshot and a log.
+
+Numbers are the board's own and are passed through, so a watcher may go on at another relay with the number
+that it holds. Events leave the run at its front and are folded into the base: the server list by store,
+purges by key. A watcher whose number is in the run is answered with a slice of it; an older one gets what the
+base holds above its number, and then the whole run.
+
+In such a compacted answer a purge has its own number. The list has the lowest number above the watcher's that
+no purge has, and tells in `folded_through` the number of its newest change. So an answer that is cut off can
+be taken up anywhere from the last event that was read: all changes up to that number have been told. And a
+relay that takes the list in knows that watchers between the two numbers still need it.
+
+All moments are Unix time in nanoseconds, as purges tell theirs in Unix milliseconds.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from olivecourse.relay.event_log import EventLog, encode_json
+from olivecourse.relay.events import FOLDED_THROUGH, InvalidRelayEvent, RelayEvent, parse_event
+from olivecourse.relay.members import FoldedMembers
+from olivecourse.relay.purges import PurgeRecord, UnsettledPurges
+
+S = 1_000_000_000  # nanoseconds
+CACHED_RUNS = 4  # times the run's bytes that all cached answers may have together
+MOST_CACHED_ANSWERS = 64  # numbers at which watchers wait at one moment; most wait at the last few
+
+
+@dataclass(frozen=True)
+class HistoryLimits:
+    """What a history may hold.
+
+    `most_bytes` and `most_events` bound the run of whole events. The run need only outlast a watcher's poll
+    and a turn to another relay: 4,096 events are half a minute at 150 a second, and what is older costs less
+    folded. One event is kept whatever its length.
+    `most_members`: some 15 times the stores of the largest deployment planned.
+    `most_purges` bounds the folded purges: over 1,000 a second through the whole retention.
+    `purge_retention_ns` must be at least the settings' `purge_settles`, after which no store holds an older
+    copy; the default is ten times the usual 6 s, as room for clocks that differ and stores that were away.
+    """
+
+    most_bytes: int = 2**20
+    most_events: int = 4_096
+    most_members: int = 16_384
+    most_purges: int = 65_536
+    purge_retention_ns: int = 60 * S
+
+    def __post_init__(self) -> None:
+        if min(self.most_bytes, self.most_events, self.most_members, self.most_purges) < 1:
+            raise ValueError("limits of a history are above 0")
+        if self.purge_retention_ns < 0:
+            raise ValueError("the retention of purges is not below 0")
+
+
+@dataclass(frozen=True)
+class AppendResult:
+    """Of the events given to `append`: how many were new, known already, and no events at all."""
+
+    taken: int
+    known: int
+    invalid: int
+
+
+@dataclass(frozen=True)
+class HistoryCounters:
+    """Since the start. `unusable` parts are passed on and not folded; `unknown_dropped` are events that held
+    parts not known here when they left the run; `purges_evicted` and `members_refused` were over a limit."""
+
+    taken: int
+    known: int
+    invalid: int
+    unusable: int
+    folded: int
+    unknown_dropped: int
+    purges_superseded: int
+    purges_settled: int
+    purges_evicted: int
+    members_refused: int
+    answers_encoded: int
+    answers_shared: int
+    answers_compacted: int
+    watchers_too_old: int
+
+
+class WatcherTooOld(LookupError):
+    """What a watcher missed is no longer held in full: it must be refused here and not left to wait.
+
+    Raised while a limit on purges or members is exceeded, and only for numbers older than the run.
+    """
+
+
+class EventHistory:
+    """The events that a relay hands on, and what is left of the older ones."""
+
+    def __init__(self, limits: HistoryLimits) -> None:
+        self._limits = limits
+        self._run = EventLog()
+        self._members = FoldedMembers(limits.most_members)
+        self._purges = UnsettledPurges(limits.purge_retention_ns, limits.most_purges)
+        self._folded_through = 0  # watchers below this number need the base
+        self._listed = False
+        self._list_through = 0  # `folded_through` of the newest list that a relay above has folded
+        self._revision = 0
+        self._answers: dict[int, bytes] = {}
+        self._answers_size = 0
+        self._taken = 0
+        self._known = 0
+        self._invalid = 0
+        self._unusable = 0
+        self._folded = 0
+        self._unknown_dropped = 0
+        self._answers_encoded = 0
+        self._answers_shared = 0
+        self._answers_compacted = 0
+        self._watchers_too_old = 0
+
+    @property
+    def revision(self) -> int:
+        """The number of the newest event; 0 before the first."""
+        return self._revision
+
+    @property
+    def ready(self) -> bool:
+        """Whether a whole server list has been appended. Before that nobody may be answered."""
+        return self._listed
+
+    @property
+    def counters(self) -> HistoryCounters:
+        """A copy of all counters."""
+        return HistoryCounters(
+            taken=self._taken,
+            known=self._known,
+            invalid=self._invalid,
+            unusable=self._unusable,
+            folded=self._folded,
+            unknown_dropped=self._unknown_dropped,
+            purges_superseded=self._purges.superseded,
+            purges_settled=self._purges.settled,
+            purges_evicted=self._purges.evicted,
+            members_refused=self._members.refused,
+            answers_encoded=self._answers_encoded,
+            answers_shared=self._answers_shared,
+            answers_compacted=self._answers_compacted,
+            watchers_too_old=self._watchers_too_old,
+        )
+
+    def append(self, events: Sequence[Any], now: int) -> AppendResult:
+        """Takes the events of an answer from upstream, each a value as JSON gives it, in any order.
+
+        Those at or below `revision` are known already: an upstream that has come back with older numbers, or
+        none, changes nothing.
+        """
+        parsed, invalid = _parse_all(events)
+        parsed.sort(key=_number)
+        taken = 0
+        for event in parsed:
+            if event.number <= self._revision:
+                continue
+            try:
+                encoded = encode_json(event.raw)
+            except RecursionError:  # nested deeper than can be passed on
+                invalid += 1
+                continue
+            self._take(event, encoded, now)
+            taken += 1
+        self._purges.expire(now)
+        if taken:
+            self._answers.clear()
+            self._answers_size = 0
+        known = len(events) - taken - invalid
+        self._taken += taken
+        self._known += known
+        self._invalid += invalid
+        return AppendResult(taken, known, invalid)
+
+    def _take(self, event: RelayEvent, encoded: bytes, now: int) -> None:
+        self._run.append(event, encoded)
+        self._revision = event.number
+        self._unusable += event.unusable
+        pool = event.pool
+        if pool is not None and pool.complete:
+            self._listed = True
+            if event.folded_through > event.number:
+                self._list_through = event.folded_through
+        run, limits = self._run, self._limits
+        while len(run) > limits.most_events or (run.size > limits.most_bytes and len(run) > 1):
+            self._fold_oldest(now)
+        if self._list_through and self._list_through <= self._revision:
+            self._fold_through_list(now)
+
+    def _fold_through_list(self, now: int) -> None:
+        """Folds the run as far as the newest whole list tells all changes, if a later event came.
+
+        A watcher between the list's own number and that one would else be given a slice that lacks the list.
+        """
+        run = self._run
+        while len(run) > 1 and run.oldest_number <= self._list_through:
+            self._fold_oldest(now)
+        if run.oldest_number > self._list_through:
+            self._list_through = 0
+
+    def _fold_oldest(self, now: int) -> None:
+        event, encoded = self._run.remove_oldest()
+        self._folded_through = max(self._folded_through, event.number)
+        if event.folded_through <= self._revision:
+            self._folded_through = max(self._folded_through, event.folded_through)
+        self._folded += 1
+        if event.has_unknown:
+            self._unknown_dropped += 1
+        if event.pool is not None:
+            self._members.fold(event.folded_through, event.pool)
+        if event.purge is not None:
+            if event.pool is not None or event.has_unknown:  # its encoding holds more than the purge
+                encoded = encode_json({"rev": event.number, "flush": event.raw["flush"]})
+            self._purges.fold(event.number, event.purge, encoded, now)
+
+    def since(self, revision: int, now: int) -> bytes | None:
+        """The JSON body for a watcher that holds `revision`; None if there is nothing later for it.
+
+        The same object is given to all who ask from the same events until the next append. Raises
+        WatcherTooOld where a limit was exceeded and the watcher may have missed what was dropped.
+        """
+        if revision >= self._revision or not self._listed:
+            return None
+        revision = max(revision, 0)
+        if revision >= self._folded_through:
+            key = self._run.first_after(revision)
+        else:
+            self._refuse_too_old(revision, now)
+            key = -1 - self._lowest_equal(revision)
+        answer = self._answers.get(key)
+        if answer is not None:
+            self._answers_shared += 1
+            return answer
+        answer = self._encode_answer(revision)
+        self._keep_answer(key, answer)
+        return answer
+
+    def empty_answer(self) -> bytes:
+        """The JSON body for a wait that ran out."""
+        return b'{"rev":%d,"notices":[]}' % self._revision
+
+    def _refuse_too_old(self, revision: int, now: int) -> None:
+        if self._members.number > revision and not self._members.complete and self._members.refused:
+            self._watchers_too_old += 1
+            raise WatcherTooOld("more stores are listed than this relay may hold")
+        if revision < self._purges.incomplete_before(now):
+            self._watchers_too_old += 1
+            raise WatcherTooOld("more purges are unsettled than this relay may hold")
+
+    def _lowest_equal(self, revision: int) -> int:
+        """A number that gets the same compacted answer, so that watchers with different ones share it."""
+        members_number = self._members.number
+        if members_number > revision:  # the list's number depends on the watcher's
+            return revision
+        lowest_purge = self._purges.lowest_number or self._folded_through
+        return members_number if revision < lowest_purge else revision
+
+    def _encode_answer(self, revision: int) -> bytes:
+        self._answers_encoded += 1
+        parts: list[bytes] = []
+        if revision < self._folded_through:
+            self._answers_compacted += 1
+            parts = self._base_after(revision)
+        run = self._run.encoded_after(revision)
+        if run:
+            parts.append(run)
+        return b'{"rev":%d,"notices":[%b]}' % (self._revision, b",".join(parts))
+
+    def _base_after(self, revision: int) -> list[bytes]:
+        """The base's events above `revision`, encoded, in ascending numbers.
+
+        A watcher that has taken the newest change of the list needs no list.
+        """
+        records = self._purges.after(revision)
+        parts = [record.encoded for record in records]
+        if not self._members.complete or self._members.number <= revision:
+            return parts
+        highest = min(self._members.number, self._folded_through)
+        index, number = _first_free_number(records, revision, highest)
+        pool = b'"pool":%b,"%b":%d}' % (
+            self._members.encoded_pool(),
+            FOLDED_THROUGH.encode(),
+            self._members.number,
+        )
+        if index < len(records) and records[index].number == number:  # all are taken: one event tells both
+            parts[index] = b"%b,%b" % (parts[index][:-1], pool)
+        else:
+            parts.insert(index, b'{"rev":%d,%b' % (number, pool))
+        return parts
+
+    def _keep_answer(self, key: int, answer: bytes) -> None:
+        """Keeps the answer for others; one that is longer than the bound is kept alone."""
+        size = self._answers_size + len(answer)
+        if size > CACHED_RUNS * self._limits.most_bytes or len(self._answers) >= MOST_CACHED_ANSWERS:
+            self._answers.clear()
+            self._answers_size = 0
+        self._answers[key] = answer
+        self._answers_size += len(answer)
+
+
+def _first_free_number(records: list[PurgeRecord], above: int, highest: int) -> tuple[int, int]:
+    """The lowest number above `above` that no purge has, or `highest`; and its place among the purges."""
+    number = above + 1
+    index = 0
+    while number < highest and index < len(records) and records[index].number == number:
+        number += 1
+        index += 1
+    return index, number
+
+
+def _number(event: RelayEvent) -> int:
+    return event.number
+
+
+def _parse_all(events: Sequence[Any]) -> tuple[list[RelayEvent], int]:
+    """The events that have a number, and how many have none."""
+    parsed: list[RelayEvent] = []
+    invalid = 0
+    for raw in events:
+        try:
+            parsed.append(parse_event(raw))
+        except InvalidRelayEvent:
+            invalid += 1
+    return parsed, invalid
--- /dev/null
+++ b/olivecourse/relay/members.py
@@ -0,0 +1,80 @@
+"""The server list as all events so far have made it, encoded only when somebody needs it whole."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from olivecourse.relay.event_log import encode_json
+from olivecourse.relay.events import MemberChange, PoolChange
+
+
+class FoldedMembers:
+    """The newest whole entry of each store, by id. A store that is gone leaves nothing behind.
+
+    Only the entries that have changed are encoded again; the joined list is kept until the next change.
+    """
+
+    def __init__(self, most_members: int) -> None:
+        self._most_members = most_members
+        self._members: dict[str, dict[str, Any]] = {}
+        self._encoded_members: dict[str, bytes] = {}
+        self._encoded_pool: bytes | None = None
+        self._extra: dict[str, Any] = {}  # all of the newest change but its members
+        self.number = 0  # of the newest change in it
+        self.complete = False  # whether a whole list is among what was folded
+        self.refused = 0  # members beyond the limit
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def fold(self, number: int, change: PoolChange) -> None:
+        """Takes in one change, or a whole list as of `number`, in the order of their events.
+
+        What a whole list as of a later number has told already is left out: a relay whose answer was cut off
+        may be given it again by another upstream.
+
+        Above the limit on members the list is no longer complete until the next whole one that fits: a list
+        that lacks stores must never pass for a whole one.
+        """
+        if number <= self.number:
+            return
+        if change.complete:
+            self._members.clear()
+            self._encoded_members.clear()
+            self.complete = True
+        for member in change.members:
+            self._fold_member(member)
+        self._extra = change.raw
+        self._encoded_pool = None
+        self.number = number
+
+    def _fold_member(self, member: MemberChange) -> None:
+        name = member.name
+        self._encoded_members.pop(name, None)
+        if member.gone:
+            self._members.pop(name, None)
+        elif name in self._members or len(self._members) < self._most_members:
+            self._members[name] = member.raw
+        else:
+            self.refused += 1
+            self.complete = False
+
+    def encoded_pool(self) -> bytes:
+        """The whole list, as the `pool` of an event."""
+        if self._encoded_pool is None:
+            self._encoded_pool = self._encode_pool()
+        return self._encoded_pool
+
+    def _encode_pool(self) -> bytes:
+        parts: list[bytes] = []
+        for name, raw in self._members.items():
+            encoded = self._encoded_members.get(name)
+            if encoded is None:
+                encoded = encode_json(raw)
+                self._encoded_members[name] = encoded
+            parts.append(encoded)
+        extra = dict(self._extra)
+        extra.pop("members", None)
+        extra["complete"] = True
+        head = encode_json(extra)[:-1]  # without its closing brace
+        return b'%b,"members":[%b]}' % (head, b",".join(parts))
