Give relays the low mark that they report upwards

Need: a relay that has just started has no mark; reported as 'none' it would pass for a gateway that has taken the relay's own number, and the root's mark would claim more than is known. It tells 0 for its first lease.

--- a/olivecourse/relay/watermarks.py
+++ b/olivecourse/relay/watermarks.py
@@ -146,6 +146,17 @@
             heapq.heappop(heap)
         return heap[0] if heap else None
 
+    def subtree_low(self, revision: int, now: int) -> int:
+        """The `low` that a relay at `revision` reports to the one above, for itself and all below it.
+
+        Without watchers it is the relay's own number. For the first lease after the start it is 0, as nothing
+        is known of those that were here before.
+        """
+        low = self.mark(now)
+        if now < self._marked_from_ns:
+            return 0
+        return revision if low is None else min(low, revision)
+
     def counted(self, now: int) -> int:
         """How many watchers the mark stands for, those of relays below included."""
         self._expire(now)
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -518,7 +518,10 @@
     marks = LowWaterMark(lease_ns=10 * S, started_ns=100 * S)
     marks.report("early", 9, 101 * S)
     assert marks.mark(109 * S) is None and marks.counted(109 * S) == 1
+    assert marks.subtree_low(12, 109 * S) == 0
     assert marks.mark(110 * S) == 9
+    assert marks.subtree_low(12, 110 * S) == 9 and marks.subtree_low(7, 110 * S) == 7
+    assert marks.subtree_low(12, 200 * S) == 12  # nobody is left
 
 
 def test_watchers_and_lapsed_ones_are_bounded():
