--- a/benchmarks/_slopes.py
+++ b/benchmarks/_slopes.py
@@ -77,11 +77,12 @@
     exponent: float | None
     line: Line
     power: Line | None  # over logarithms, where `exponent` is known
+    power_is_closer: bool  # its largest relative residual is below `residual_share`
 
     def at(self, size: float) -> Estimate:
-        """The cost at any size above zero: by the line, or by the power law where the points are no line."""
+        """The cost at any size above zero: by the line, or by the power law where that is closer."""
         beyond = size / self.largest
-        if self.power is None:
+        if self.power is None or not self.power_is_closer:
             value, half = self.line.at(size), self.line.half_at(size)
             return Estimate(value, value - half, value + half, beyond)
         height, half = self.power.at(math.log(size)), self.power.half_at(math.log(size))
@@ -117,9 +118,13 @@
     sizes = numpy.array([size for size, _ in points], dtype=float)
     costs = numpy.array([cost for _, cost in points], dtype=float)
     line = _line(sizes, costs)
-    residual_share = _residual_share(sizes, costs, line)
+    residual_share = _residual_share(costs, line.mean_y + line.slope * (sizes - line.mean_x))
     is_line = residual_share <= MOST_RESIDUAL and not _bends(sizes, costs, line)
     power = None if is_line or costs.min() <= 0.0 else _line(numpy.log(sizes), numpy.log(costs))
+    closer = False
+    if power is not None:
+        powers = numpy.exp(power.mean_y + power.slope * (numpy.log(sizes) - power.mean_x))
+        closer = _residual_share(costs, powers) < residual_share
     return Slope(
         line.at(0.0),
         line.slope,
@@ -132,6 +137,7 @@
         None if power is None else power.slope,
         line,
         power,
+        closer,
     )
 
 
@@ -157,21 +163,18 @@
     quantile = float(stats.t.ppf((1.0 + CONFIDENCE) / 2.0, freedom))
     residuals = y - (found.intercept + found.slope * x)
     deviation = math.sqrt(float(residuals @ residuals) / freedom)
+    slope_error = deviation / math.sqrt(float(((x - x.mean()) ** 2).sum()))
+    mean_error = deviation / math.sqrt(len(x))
     return Line(
-        float(x.mean()),
-        float(y.mean()),
-        float(found.slope),
-        quantile * deviation / math.sqrt(len(x)),
-        quantile * float(found.stderr),
+        float(x.mean()), float(y.mean()), float(found.slope), quantile * mean_error, quantile * slope_error
     )
 
 
-def _residual_share(sizes: Values, costs: Values, line: Line) -> float:
-    residuals = numpy.abs(costs - (line.mean_y + line.slope * (sizes - line.mean_x)))
+def _residual_share(costs: Values, fitted: Values) -> float:
     least = LEAST_COST_SHARE * float(numpy.abs(costs).mean())
     if least == 0.0:
         return 0.0  # nothing costs anything
-    return float((residuals / numpy.maximum(numpy.abs(costs), least)).max())
+    return float((numpy.abs(costs - fitted) / numpy.maximum(numpy.abs(costs), least)).max())
 
 
 def _bends(sizes: Values, costs: Values, line: Line) -> bool:
