--- a/benchmarks/_virtual_agreement.py
+++ b/benchmarks/_virtual_agreement.py
@@ -352,7 +352,7 @@
     ready, names = interface.State.READY, {n: f"10.0.{n // 256}.{n % 256}:8000" for n in range(stores)}
     members = {f"{n}": interface.Member(n, 8.0, 1, n % 46, ready, 0, 0) for n in range(stores)}
     budget = types.SimpleNamespace(budget=Budget)
-    directory = types.SimpleNamespace(members=members, names=names, out=set())
+    directory = types.SimpleNamespace(members=members, names=names, manually_drained=set())
     settings = interface.Settings(parent_kind=1, origin_kind=2, cold_ns=15 * S, parent_cold_ns=18 * S)
     host = types.SimpleNamespace(
         directory=directory,
