Give the control side of a gateway a class of its own

Need: scale tests run the control side without the request path, from the very class that a gateway runs. ControlPlane holds the directory, the poll and the purges for planners of their own, moved out of Gateway.__init__, reload, greet, on_events and _remember; Gateway.directory, discovery and on_events stay. The number of the last event is kept in it across a reload without an address, no longer in the Config.

--- a/olivecourse/gateway.py
+++ b/olivecourse/gateway.py
@@ -13,9 +13,9 @@
 from typing import TYPE_CHECKING, Any, TypeVar
 
 from olivecourse import interface as w
-from olivecourse.config.discovery_events import InvalidEvent, ServerDirectory
 from olivecourse.config.gateway_config import Config
 from olivecourse.config.merging import Merged, merge
+from olivecourse.control_plane import ControlPlane
 from olivecourse.core.descriptors import split
 from olivecourse.core.ledger import Ledger
 from olivecourse.core.planner import Planner
@@ -66,12 +66,12 @@
         self._merged: Merged | None = None  # the last reload's settings
         self.fronts: list[Listener] = []  # none yet while the parts before them start
         s = config.settings
-        clock = loop.clock
-        self.directory = ServerDirectory(config.zones, config.kinds, s, clock.from_unix_ms, clock.now)
         self.started = loop.clock.now()
         self.conf_loaded, self.conf_invalid = 1, 0
         self.ledger = Ledger(s, LoopTimers(loop), self.batch.append, log, most=4096)
-        self.purges: dict[str | int, int] = {}
+        self.control = ControlPlane(loop, config, self.ledger, self.batch.append, self._server_terminated,
+                                    log)
+        self.directory = self.control.directory
         # The system's own limit binds too, whatever the configuration says.
         self.sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         room = split(self.sockets, len(config.doors))
@@ -94,9 +94,7 @@
             self.batch.clear()  # told anew to every planner that is found
             self.remote = RemotePlanner(loop, config.planner, self.carry_out, self.greet, self._alone, log)
         self.decide()
-        self.discovery: DiscoveryClient | None = None
-        if config.board is not None:
-            self.discovery = DiscoveryClient(loop, config.board, config.rev, self.on_events, log)
+        self.control.start()
         self.tokens: Tokens | None = None
         self.spent: DurableSpent | None = None
         self.front: Listener = self._front()
@@ -199,14 +197,7 @@
                               inventory=fresh.inventory, connect_ns=fresh.connect_ns,
                               idle_ns=fresh.idle_ns, streams=fresh.streams, settings=merged.settings,
                               signed=old.signed if "signed" in fixed else fresh.signed)
-        if self.discovery is not None and fresh.board is not None:
-            self.discovery.move(fresh.board)
-        elif fresh.board is not None:
-            self.discovery = DiscoveryClient(self.loop, fresh.board, old.rev, self.on_events, self.log)
-        elif self.discovery is not None:  # told nothing any more, but the number is kept for a board to come
-            self.discovery.stop()
-            self.config = replace(self.config, rev=self.discovery.rev)
-            self.discovery = None
+        self.control.reload(old, self.config)
         if keys is not None and self.tokens is not None:
             self.tokens.keys = keys
         self.pool.limits = replace(self.pool.limits, **self._reach())
@@ -246,12 +237,7 @@
 
     def greet(self) -> None:
         """A planner that has just been found knows nothing: tell it the stores and the purges that bind."""
-        now = self.loop.clock.now()
-        members = map(self.directory.effective_member, self.directory.members.values())
-        self.batch.append(w.CacheList(0, w.ListKind.HELD, tuple(members)))
-        for key, at in self.purges.items():
-            news = w.Purged(key, None, now - at) if isinstance(key, str) else w.Purged(None, key, now - at)
-            self.batch.append(news)
+        self.control.sync_planner()
 
     def _alone(self) -> None:
         """The planner is lost, and with it whatever it meant to do: every open request is answered now."""
@@ -292,26 +278,15 @@
     def emit(self, event: w.Event) -> None:
         self.batch.append(event)
 
+    @property
+    def discovery(self) -> DiscoveryClient | None:
+        return self.control.discovery
+
     def on_events(self, events: list[Any], first: bool = False) -> None:
-        for raw in events:
-            try:
-                for event in self.directory.events(raw, first):
-                    if isinstance(event, w.Purged):
-                        self.ledger.purge(event)
-                        self._remember(event)
-                    self.batch.append(event)
-            except InvalidEvent as bad:
-                self.log("discovery_event_invalid", why=str(bad))
-        ended, self.directory.terminated_at = self.directory.terminated_at, {}
-        for cache, when in ended.items():
-            self.pool.drop(cache, when)
-
-    def _remember(self, news: w.Purged) -> None:
-        key = news.group if news.object is None else news.object
-        now, settles = self.loop.clock.now(), self.config.settings.purge_settles_ns
-        if key is not None and self.config.planner is not None:
-            self.purges = {k: at for k, at in self.purges.items() if at > now - settles}
-            self.purges[key] = now - (news.age_ns or 0)
+        self.control.on_events(events, first)
+
+    def _server_terminated(self, server: int, when: int) -> None:
+        self.pool.drop(server, when)
 
     def decide(self) -> None:
         """Until nothing new came of it: outcomes of the actions themselves go to the planner at once."""
@@ -407,8 +382,7 @@
         self.front.close()
         if self.spent is not None:
             self.spent.stop()
-        if self.discovery is not None:
-            self.discovery.stop()
+        self.control.stop()
         for part in self.parts:
             part.stop()
         if self.remote is not None:
