Keep purges in a table that costs the same for each and is bounded

Cause: Ledger.purge (core/ledger.py, 'if len(self.purged) > 4096') made its table anew on every purge while over 4,096 keys were younger than KEEP_NS; Gateway._remember did so on every purge with a planner in a process of its own; Router.purges had no bound; recently_listed deleted from the front of a dict, which is scanned over what was deleted before. Ruled out: the directory's reading of events and the Router, which are in proportion.

PurgeTable (no I/O, clock passed in) is used by ledger, control plane and Router. It adds and expires in constant time from the oldest end. Up to 16,384 entries leave by time only, as before; beyond, those that had settled before they were told go first; beyond 65,536 unsettled ones the oldest are folded into one bound for every object, which costs fills and serves no purged copy. Both are counted.

On the code before, test_the_ten_thousandth_purge_costs_what_the_first_did fails (both cases).

--- a/olivecourse/choice.py
+++ b/olivecourse/choice.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from olivecourse import interface as w
+from olivecourse.purge_table import PurgeTable
 from olivecourse.reports import Reports
 from olivecourse.ring import Ring, rendezvous, steps
 from olivecourse.sizes import Sizes
@@ -106,7 +107,7 @@
         self.late_at = [now] * len(self.fills)  # when a fill was last late
         self.streak: dict[tuple[int, bool], int] = {}  # timely fills since the last late one
         self.retune_at = now + INTERVAL_NS
-        self.purges: dict[str | int | None, tuple[int, int]] = {}
+        self.purges = PurgeTable()
         self.retries, self.held_back = RETRY_BURST, False
         # Early repeats that lost answers have granted; attempts to be looked at, by their timers.
         self.lost, self.looks = 0.0, dict[int, tuple[str, int]]()
@@ -304,8 +305,7 @@
 
     def _max_age(self, held: Held) -> tuple[int, bool]:
         """The oldest copy that will do, and whether a purge that has not settled bounds it."""
-        found = [self.purges[k] for k in (held.ask.object, held.ask.group) if k in self.purges]
-        ages = [self.now - at for at, _ in found]
+        ages = [self.now - at for at in self.purges.find(held.ask.object, held.ask.group)]
         return (max(min(*ages, held.cls.fresh_ns or ages[0]), 1), True) if ages else (0, False)
 
     def _give_up(self, held: Held) -> None:
@@ -471,7 +471,7 @@
             self.acts.append(w.Log(f"fills {'held back' if self.held_back else 'free again'}"))
         if self.now >= self.retune_at:
             self._retune()
-            self.purges = {k: p for k, p in self.purges.items() if p[1] > self.now}
+            self.purges.expire(self.now)
         if self.now >= self.ask_at:
             self.acts.append(w.Subscribe(True))
             self.ask_at = float(self.now + ASK_AGAIN_NS)
@@ -542,6 +542,5 @@
 
     def _purged(self, news: w.Purged) -> None:
         key = news.group if news.object is None else news.object  # a number or a text
-        at, until = self.purges.get(key, (0, 0))
-        self.purges[key] = (max(self.now - (news.age_ns or 0), at),
-                            max(self.now + self.s.purge_settles_ns, until))
+        at, settles = self.now - (news.age_ns or 0), self.s.purge_settles_ns
+        self.purges.add(key, at, self.now + settles, self.now, 0 < settles <= self.now - at)
--- a/olivecourse/config/discovery_events.py
+++ b/olivecourse/config/discovery_events.py
@@ -4,6 +4,7 @@
 
 import math
 import re
+from collections import OrderedDict
 from collections.abc import Callable, Iterator
 from dataclasses import replace
 from hashlib import blake2b
@@ -59,7 +60,7 @@
         self.started: dict[int, tuple[int, int]] = {}  # by store: its start as told, and on our clock
         self.manually_drained: set[str] = set()  # ids that operators drain by hand, whatever discovery says
         self.leased_out: set[str] = set()  # ids that hold a lease to be out, as the fleet has agreed
-        self.recently_listed: dict[str, None] = {}  # ids that a list has named, latest last
+        self.recently_listed: OrderedDict[str, None] = OrderedDict()  # ids that a list has named, latest last
 
     def ready(self, cache: int) -> bool:
         return self.states.get(cache) is w.State.READY and not self._withdrawn(cache)
@@ -147,7 +148,7 @@
         self.recently_listed.pop(name, None)
         self.recently_listed[name] = None
         if len(self.recently_listed) > MAX_RECENTLY_LISTED:
-            del self.recently_listed[next(iter(self.recently_listed))]
+            self.recently_listed.popitem(last=False)
         if address is not None:
             self.addresses[cache] = address
         # Told again, a start keeps its place on our clock: else a step of the system's clock looks like one.
--- a/olivecourse/control_plane.py
+++ b/olivecourse/control_plane.py
@@ -14,6 +14,7 @@
 from olivecourse.core.ledger import Ledger
 from olivecourse.net.discovery_client import DiscoveryClient
 from olivecourse.net.loop import Loop
+from olivecourse.purge_table import PurgeTable
 
 
 class ControlPlane:
@@ -39,7 +40,7 @@
         )
         self.discovery: DiscoveryClient | None = None
         self._rev = config.rev  # the last event taken while nothing is polled
-        self.purges: dict[str | int, int] = {}  # kept for planners in processes of their own only
+        self.purges = PurgeTable(keep=0)  # kept for planners in processes of their own only
 
     def start(self) -> None:
         """Begins to poll, where the configuration names an address."""
@@ -85,14 +86,15 @@
         key = news.group if news.object is None else news.object
         now, settles = self.loop.clock.now(), self._config.settings.purge_settles_ns
         if key is not None and self._config.planner is not None:
-            self.purges = {k: at for k, at in self.purges.items() if at > now - settles}
-            self.purges[key] = now - (news.age_ns or 0)
+            age = news.age_ns or 0
+            self.purges.add(key, now - age, now + settles, now, 0 < settles <= age)
 
     def sync_planner(self) -> None:
         """Tells a planner that knows nothing of the servers and of the purges that bind."""
         now = self.loop.clock.now()
         members = map(self.directory.effective_member, self.directory.members.values())
         self._emit(w.CacheList(0, w.ListKind.HELD, tuple(members)))
-        for key, at in self.purges.items():
+        self.purges.expire(now)
+        for key, (at, _) in self.purges.items():
             age = now - at
             self._emit(w.Purged(key, None, age) if isinstance(key, str) else w.Purged(None, key, age))
--- a/olivecourse/core/ledger.py
+++ b/olivecourse/core/ledger.py
@@ -11,11 +11,13 @@
 from typing import Any, Protocol
 
 from olivecourse import interface as w
+from olivecourse.purge_table import PurgeTable
 
 MS = 1_000_000
 KEEP_NS = 2_000 * MS  # how long the number of a closed request's attempts is kept for late actions
 STRICTEST = (w.Effect.AT_MOST_ONCE, w.Effect.DEDUPLICATED, w.Effect.IDEMPOTENT)
 WINDOW_MARGIN_NS = 2 * MS  # the send itself, and the wheel's tick
+KEEP_PURGES = 4096  # so many are kept longer: attempts that wait for long are checked against them too
 GUARD_NS = 4 * MS  # after the Router's own last moment, and still before the client's
 
 
@@ -105,7 +107,7 @@
         self.open = 0
         self.carrier: Carrier | None = None
         self.closing = False  # the end is near: nothing is taken any more
-        self.purged: dict[str | int, int] = {}  # when this gateway was told, for the check before a send
+        self.purged = PurgeTable(KEEP_PURGES)  # when this gateway was told, for the check before a send
         self.taken = self.left = 0  # requests taken; those whose client stopped waiting
         self.late = 0  # served, and later than wanted
         self.outcomes = [[0, 0, 0] for _ in settings.classes]  # by class: served, refused, failed
@@ -220,7 +222,7 @@
         """Whether an attempt that waited may still go out. Guards against a send to a client who has left,
         past the deadline, or from copies that a purge told meanwhile has made void."""
         ask = attempt.entry.ask
-        told = max(self.purged.get(k, -1) for k in (ask.object or "", -1 if ask.group is None else ask.group))
+        told = max(self.purged.find(ask.object, ask.group), default=-1)
         return (not attempt.ended and not attempt.entry.closed and attempt.deadline > self._timers.now()
                 and told <= attempt.sent_at and self._in_window(attempt))
 
@@ -252,9 +254,9 @@
         key = news.group if news.object is None else news.object
         if key is not None:
             now = self._timers.now()
-            self.purged[key] = now
-            if len(self.purged) > 4096:  # old ones bind no waiting attempt any more
-                self.purged = {k: at for k, at in self.purged.items() if at > now - KEEP_NS}
+            settles = self._settings.purge_settles_ns
+            settled = 0 < settles <= (news.age_ns or 0)  # no store has an older copy any more
+            self.purged.add(key, now, now + KEEP_NS, now, settled)
 
     def end(self, attempt: Attempt, status: w.Status, note: w.Note = w.Note.NONE, wait_ns: int | None = None,
             body: bytes = b"", tag: str | None = None, same: bool = False,
