--- a/benchmarks/scale_virtual.py
+++ b/benchmarks/scale_virtual.py
@@ -433,7 +433,9 @@
     for name, call, sizes, target in calls:
         points = [(float(size), call(size)) for size in sizes for _ in range(repeats)]
         results.slope(f"agreement_{name}", points, target)
-        rows += [(name, size, statistics.median(ms for at, ms in points if at == size)) for size in sizes]
+        medians = {size: statistics.median(ms for at, ms in points if at == size) for size in sizes}
+        rows += [(name, size, median) for size, median in medians.items()]
+        results.keys |= {f"agreement_{name}_{size}": rounded(median) for size, median in medians.items()}
     results.table("Processor time of one call", ("call", "size", "ms"), rows)
 
 
