Let only members of the agreement ask for votes that a lost disk took from them

Cause: Member gives a Register votes=False for every node that is no member (rollout/member.py, Member.__init__), and Register.tick took that for a member whose disk is lost: a Recall to each member every 240 ms, for ever, which Register.heard drops, as the sender is none. Ruled out: beats (80 a second) and answers.

Change: _rejoin for members only, and a test that fails without it.

--- a/olivecourse/rollout/register.py
+++ b/olivecourse/rollout/register.py
@@ -284,7 +284,7 @@
 
     def tick(self, now: int) -> None:
         """To be called every few tens of milliseconds."""
-        if not self.votes:
+        if not self.votes and self.me in self.members:  # who never votes has no vote to win back
             self._rejoin(now)
         for key, game in list(self.rounds.items()):
             if now - game.began > ROUND_NS:
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -22,7 +22,7 @@
 from olivecourse.rollout.gates import Counts, Gate
 from olivecourse.rollout.member import Halted, Tell
 from olivecourse.rollout.places import Answer, Said, Why
-from olivecourse.rollout.register import Ballot, Slot
+from olivecourse.rollout.register import Ballot, Recall, Register, Slot
 from olivecourse.rollout.releases import Plan, State, Word, flaws
 from olivecourse.rollout.section import read_rollout
 from olivecourse.rollout.store import Disk, Held, Torn
@@ -495,3 +495,18 @@
         assert "release state=halted" in cli("rollout", "explain", str(log))[1]
     finally:
         fleet.close()
+
+
+def test_a_node_that_never_votes_polls_no_member_and_one_that_lost_its_disk_does():
+    """Seen in the scale runs: every node outside the voters asked each of them four times a second for ever."""
+    members, start = (0, 1, 2), 1_700_000_000 * S
+
+    def sent_in_a_minute(me):
+        register = Register(me, members, {}, lambda *unused: None, Random(1), lambda *unused: False,
+                            lambda *unused: (), votes=False)
+        for tick in range(60 * 50):
+            register.tick(start + tick * S // 50)
+        return [message for _, message in register.step.sends]
+
+    assert sent_in_a_minute(7) == []
+    assert any(isinstance(message, Recall) for message in sent_in_a_minute(0))
