Read discovery's answers as a stream, in slices, and spread the retries

Cause: PollStream.on_body (net/discovery_client.py) raised over 4 MB, so that a backlog of 70,000 purges was asked for again from the same number for ever; json.loads read an answer as one, and all its events were taken in one turn; the response timer cut off an answer that took over 0.7 s, however fast it came; retries of all clients came after the same 20 ms, 40 ms. Ruled out: the ring buffer and httptools, which pass on 4 KB at a time, and the loop, which is level-triggered: what is not read stays with the system.

EventStreamParser (no I/O) takes events one by one out of a bounded text; ResponseReader keeps what short answers meant: up to 64 KB sorted, and as a whole or not at all. Of a longer one each whole event counts; a cut or broken one is one log line and is asked for again from the last. A turn reads 32 KB of this connection at the most. The timer starts again while at least 1 KB of an answer comes in its time. Retries wait between half of the backoff and all of it, by a random source passed in; the first 20 to 40 ms, as before. A poll may carry further parameters.

--- a/olivecourse/control_plane.py
+++ b/olivecourse/control_plane.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from random import Random
 from typing import Any
 
 from olivecourse import interface as w
@@ -39,6 +40,8 @@
             config.zones, config.kinds, config.settings, clock.from_unix_ms, clock.now
         )
         self.discovery: DiscoveryClient | None = None
+        # By name too: gateways that share a seed must not come back to a lost address as one.
+        self._random = Random(f"{config.settings.seed} {config.name}").random
         self._rev = config.rev  # the last event taken while nothing is polled
         self.purges = PurgeTable(keep=0)  # kept for planners in processes of their own only
 
@@ -48,7 +51,9 @@
             self._poll(self._config.board)
 
     def _poll(self, address: tuple[str, int]) -> None:
-        self.discovery = DiscoveryClient(self.loop, address, self._rev, self.on_events, self.log)
+        self.discovery = DiscoveryClient(
+            self.loop, address, self._rev, self.on_events, self.log, random=self._random
+        )
 
     def reload(self, old: Config, fresh: Config) -> None:
         """Goes by a new configuration: another address is polled from the last event that was taken."""
--- a/olivecourse/net/discovery_client.py
+++ b/olivecourse/net/discovery_client.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Callable
+from random import Random
 from typing import Any
 
 import httptools
 
 from olivecourse.config.address import Address
+from olivecourse.discovery.event_stream import ResponseReader
 from olivecourse.net.loop import Loop
 from olivecourse.net.stream import Stream
 from olivecourse.net.wheel import Timer
@@ -17,8 +18,11 @@
 # Short, so that a connection cut off in silence is noticed well before the 7 s are over.
 LONG_POLL_WAIT_MS = 1_500
 RESPONSE_TIMEOUT_NS = 700 * MS  # beyond the time for which the board was asked to wait
-RECONNECT_BACKOFF_NS, RECONNECT_BACKOFF_MOST_NS = 20 * MS, 320 * MS
-MAX_RESPONSE_BYTES = 4 * 2**20
+MIN_PROGRESS_BYTES = 1_024  # of an answer in RESPONSE_TIMEOUT_NS, or it counts as silent
+CONNECT_TIMEOUT_NS = 400 * MS
+# A retry waits between half of it and all, so that clients of one address do not come back as one.
+RECONNECT_BACKOFF_NS, RECONNECT_BACKOFF_MOST_NS = 40 * MS, 320 * MS
+READS_PER_TURN = 8  # of 4 KB each: some 450 purges, 5 to 15 ms of work; the rest waits for the next turn
 EventsCallback = Callable[[list[Any]], None]
 
 
@@ -28,27 +32,39 @@
     def __init__(self, client: DiscoveryClient) -> None:
         self.client, self.address = client, client.address
         self.parser = httptools.HttpResponseParser(self)
-        self.body = bytearray()
+        self.reader = ResponseReader(client.rev)
+        self.waiting = False  # for an answer, or for the rest of one
+        self.failure = ""  # why this connection can't be used any longer
+        self._received_bytes = 0  # of the answer, since the timer was set
         super().__init__(
             client.loop, Stream.connect(client.loop, client.address), 262_144, 4096, connecting=True
         )
-        self.response_timer = self.loop.after(400 * MS, self._silent)
+        self.reads = READS_PER_TURN
+        self.response_timer = self.loop.after(CONNECT_TIMEOUT_NS, self._silent)
 
     def _silent(self) -> None:
-        self.close("no answer in time")
+        if self._received_bytes < MIN_PROGRESS_BYTES:
+            self.close("no answer in time")
+        else:  # a long answer on its way
+            self._await_response(0)
+
+    def _await_response(self, wait_ms: int) -> None:
+        # Guards against a board cut off without a word, whose connection stays open for ever.
+        self._received_bytes = 0
+        self.response_timer = self.loop.after(wait_ms * MS + RESPONSE_TIMEOUT_NS, self._silent)
 
     def opened(self) -> None:
         self.ask()
 
     def ask(self) -> None:
-        # Guards against a board cut off without a word, whose connection stays open for ever.
         self.response_timer.cancel()
         host, port = self.address
         # The first poll tells only that discovery is there.
         wait_ms = LONG_POLL_WAIT_MS if self.client.answered else 0
-        self.response_timer = self.loop.after(wait_ms * MS + RESPONSE_TIMEOUT_NS, self._silent)
+        self._await_response(wait_ms)
+        self.reader, self.waiting = ResponseReader(self.client.rev), True
         self.write(
-            f"GET /board/poll?watch={self.client.rev}&linger={wait_ms} HTTP/1.1\r\n"
+            f"GET /board/poll?watch={self.client.rev}&linger={wait_ms}{self.client.query()} HTTP/1.1\r\n"
             f"Host: {host}:{port}\r\n\r\n".encode()
         )
 
@@ -56,25 +72,42 @@
         try:
             self.parser.feed_data(self.inbox.take(len(self.inbox)))
         except httptools.HttpParserError as error:
-            self.close(f"broken HTTP: {error}")
+            self.failure = f"broken HTTP: {error}"
+        if self.failure:
+            self.close(self.failure)
+
+    def on_headers_complete(self) -> None:
+        if not self.waiting:
+            self.failure = "an answer to no question"
+        elif self.parser.get_status_code() != 200:
+            self.failure = "not a 200"
 
     def on_body(self, data: bytes) -> None:
-        if len(self.body) + len(data) > MAX_RESPONSE_BYTES:
-            raise ValueError("answer too long")
-        self.body += data
+        if self.failure or not self.open:
+            return
+        self._received_bytes += len(data)
+        self.client.take(self.reader, self.reader.feed(data))
+        self._check()
 
     def on_message_complete(self) -> None:
-        body, self.body = bytes(self.body), bytearray()
-        if self.parser.get_status_code() != 200:
-            self.loop.after(0, lambda: self.close("not a 200"))
+        if self.failure or not self.open:
             return
-        keep = self.parser.should_keep_alive()
-        if not self.client.handle_response(body):  # asked again at once, it would most likely say the same
-            self.loop.after(0, lambda: self.close("broken answer"))
-        elif keep and self.open:
+        self.waiting = False
+        self.response_timer.cancel()
+        self.client.take(self.reader, self.reader.finish())
+        self._check()
+        if self.failure:
+            return
+        self.client.on_response(self.reader)
+        if not self.parser.should_keep_alive():
+            self.failure = "closed after its answer"
+        elif self.open:
             self.ask()
-        else:
-            self.loop.after(0, lambda: self.close("closed after its answer"))
+
+    def _check(self) -> None:
+        if self.reader.error is not None:  # asked again at once, it would most likely say the same
+            self.client.on_invalid_response(self.reader)
+            self.failure = "broken answer"
 
     def closed(self, why: str) -> None:
         self.response_timer.cancel()
@@ -85,9 +118,23 @@
     """Polls one discovery address, reconnects with backoff and hands each new event on."""
 
     def __init__(
-        self, loop: Loop, address: Address, rev: int, on_events: EventsCallback, log: Callable[..., None]
+        self,
+        loop: Loop,
+        address: Address,
+        rev: int,
+        on_events: EventsCallback,
+        log: Callable[..., None],
+        query: Callable[[], str] = lambda: "",
+        random: Callable[[], float] | None = None,
     ) -> None:
+        """`on_events` takes events newer than `rev` in ascending order, a long answer in several slices.
+
+        `query` gives further parameters of a poll, such as `&low=17`; `random` numbers from 0 to 1, by which
+        clients of one address spread their retries.
+        """
         self.loop, self.address, self.rev, self._on_events, self._log = loop, address, rev, on_events, log
+        self.query = query
+        self._random = Random(0).random if random is None else random
         self._backoff_ns = RECONNECT_BACKOFF_NS
         self._stopped = False
         self.answered = False  # whether any answer could be read since the start
@@ -118,33 +165,30 @@
             self._timer.cancel()
         self._connect()
 
-    def handle_response(self, body: bytes) -> bool:
-        """Whether the answer could be read; of one that can't, nothing is taken."""
-        try:
-            news = json.loads(body)
-            rev, notices = int(news["rev"]), list(news["notices"])
-            fresh = sorted(
-                ((int(n["rev"]), n) for n in notices if int(n["rev"]) > self.rev), key=lambda pair: pair[0]
-            )
-        except (ValueError, KeyError, TypeError) as error:
-            self._log("discovery_response_invalid", why=repr(error))
-            return False
+    def take(self, reader: ResponseReader, events: list[Any]) -> None:
+        """Events of an answer, each newer than what is held."""
+        if events:
+            self.rev = reader.rev
+            self._on_events(events)
+
+    def on_response(self, reader: ResponseReader) -> None:
+        """An answer was read to its end."""
         self._backoff_ns = RECONNECT_BACKOFF_NS
         self.answered = True
-        if fresh:
-            self.rev = fresh[-1][0]
-            self._on_events([n for _, n in fresh])
         # The answer's own number may run ahead of its list: never past what was really read.
-        if not notices and rev < self.rev:
-            self._log("discovery_revision_decreased", rev=rev, held=self.rev)
-        return True
+        if reader.empty and reader.revision < self.rev:
+            self._log("discovery_revision_decreased", rev=reader.revision, held=self.rev)
+
+    def on_invalid_response(self, reader: ResponseReader) -> None:
+        self._log("discovery_response_invalid", why=str(reader.error), held=self.rev)
 
     def on_disconnect(self, stream: PollStream | None, why: str) -> None:
         if self._stopped or stream is not self.stream:
             return
         self.stream = None
         self._log("discovery_disconnected", why=why)
-        self._timer = self.loop.after(self._backoff_ns, self._connect)
+        wait_ns = self._backoff_ns // 2 + int(self._random() * (self._backoff_ns // 2))
+        self._timer = self.loop.after(wait_ns, self._connect)
         self._backoff_ns = min(self._backoff_ns * 2, RECONNECT_BACKOFF_MOST_NS)
 
     def stop(self) -> None:
--- a/olivecourse/net/stream.py
+++ b/olivecourse/net/stream.py
@@ -52,6 +52,7 @@
         self.loop, self.sock = loop, sock
         self.inbox, self.outbox = RingBuffer(most_in), RingBuffer(most_out)
         self.connecting, self.open = connecting, True
+        self.reads = READS
         self.unsent = False  # closed because the system took not a byte of the last write
         self._blocked = False  # something waits for the system to take bytes again, and is not in the outbox
         self._mask = WRITE if connecting else READ
@@ -104,7 +105,7 @@
             self.read()
 
     def read(self) -> None:
-        for _ in range(READS):
+        for _ in range(self.reads):
             try:
                 got = self.inbox.receive(self.sock)
             except (BlockingIOError, InterruptedError):
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,11 +1,19 @@
 """Discovery in bulk: purges by the ten thousand, answers too long to hold, and how often it is asked."""
 
+import json
 import time
 
 import pytest
-from stage import Stage
+from stage import OBJECT, Stage, member
 
 from olivecourse import interface as w
+from olivecourse.discovery.event_stream import (
+    MAX_VALUE_CHARS,
+    WHOLE_RESPONSE_BYTES,
+    EventStreamError,
+    EventStreamParser,
+    ResponseReader,
+)
 from olivecourse.purge_table import GROUPS, PurgeTable
 
 MS = 1_000_000
@@ -111,3 +119,205 @@
     control.purges.floor = (stage.gateway.loop.clock.now() - S, stage.gateway.loop.clock.now() + S)
     control.sync_planner()
     assert {event.group for event in told if isinstance(event, w.Purged)} == set(range(GROUPS))
+
+
+# Answers as streams --------------------------------------------------------------------------------
+
+ANSWERS = [
+    '{"rev":12,"notices":[{"rev":11,"flush":{"asset":"é\\u00e9\\"]}","ms":5}},{"rev":12}]}',
+    ' { "more" : [1, {"notices": [7]}], "notices"\n:[ {"rev": 3} ,\t7, "x", null, [] ] '
+    ', "x":-1.5e+3,"rev" : 12 }\r\n',
+    '\ufeff{"notices":[],"rev":12}',
+]
+
+
+def parse(*chunks):
+    parser = EventStreamParser()
+    events = [event for chunk in chunks for event in parser.feed(chunk)]
+    return events, parser.finish()
+
+
+@pytest.mark.parametrize("answer", ANSWERS)
+def test_an_answer_may_be_cut_at_every_byte(answer):
+    data = answer.encode()
+    whole = json.loads(data)
+    expected = (whole["notices"], whole["rev"])
+    for cut in range(len(data) + 1):
+        assert parse(data[:cut], data[cut:]) == expected
+    assert parse(*(bytes([byte]) for byte in data)) == expected
+
+
+@pytest.mark.parametrize(
+    "rest",
+    [
+        b"",
+        b"]",
+        b",]}",
+        b',{"rev":3]',
+        b"{}]}",
+        b',"' + b"x" * 2**21,
+        b"," + b"[" * 100_000,
+        b"," + b" " * 2**21,
+        b",\xff",
+        b"," + b"9" * 5_000 + b"]}",
+        b'],"x":' + b"[1" * 20 + b"}}",
+        b'],"rev":"soon"}',
+        b'],"rev":1e999}',
+        b'],"rev":3}x',
+        b'],"rev":3,}',
+        b"],7:8}",
+    ],
+)
+def test_of_an_answer_that_cannot_be_read_all_whole_events_come_and_nothing_beyond(rest):
+    parser, events = EventStreamParser(), []
+    data = b'{"notices":[{"rev":1},{"rev":2}' + rest
+    for start in range(0, len(data), 4096):
+        events += parser.feed(data[start : start + 4096])
+    assert events == [{"rev": 1}, {"rev": 2}]
+    with pytest.raises(EventStreamError):
+        parser.finish()
+    assert len(parser._text) <= MAX_VALUE_CHARS and parser.feed(b'{"rev":4}') == []
+
+
+@pytest.mark.parametrize(
+    "data", [b"[]", b"7", b'{"rev":1}', b'{"notices":{},"rev":1}', b'{"notices":[]}', b""]
+)
+def test_what_is_no_answer_is_an_error(data):
+    with pytest.raises(EventStreamError):
+        parse(data)
+
+
+def test_a_list_of_all_servers_is_one_event_and_a_larger_one_than_any_is_an_error():
+    servers = [member(f"s-{n:08x}", "10.0.0.1:1") for n in range(1_100)]
+    event = {"rev": 1, "pool": {"revision": 1, "complete": True, "members": servers}}
+    data = json.dumps({"rev": 1, "notices": [event]}).encode()
+    assert len(data) > 160_000
+    assert parse(*(data[n : n + 4096] for n in range(0, len(data), 4096))) == ([event], 1)
+    event["pool"]["members"] = servers * 7
+    with pytest.raises(EventStreamError):
+        data = json.dumps({"rev": 1, "notices": [event]}).encode()
+        parse(*(data[n : n + 4096] for n in range(0, len(data), 4096)))
+
+
+def test_a_short_answer_is_taken_sorted_and_as_a_whole_or_not_at_all():
+    reader = ResponseReader(2)
+    assert reader.feed(b'{"rev":5,"notices":[{"rev":5},{"rev":2},{"rev":4}') == []
+    assert reader.feed(b"]}") == [] and reader.finish() == [{"rev": 4}, {"rev": 5}]
+    assert (reader.rev, reader.revision, reader.empty) == (5, 5, False)
+    for bad in (b'{"rev":5,"notices":[{"rev":5},{"rev":6}', b'{"rev":5,"notices":[{"rev":5},{}]}'):
+        reader = ResponseReader(2)
+        assert reader.feed(bad) == [] and reader.finish() == [] and reader.error
+
+
+def test_of_a_long_answer_each_event_above_the_last_is_taken_once_as_it_comes():
+    reader, got = ResponseReader(10), []
+    rows = json.dumps(purges(1, 3_000, 5) + purges(2_900, 300, 5))[:-1].encode()
+    assert len(rows) > WHOLE_RESPONSE_BYTES
+    for start in range(0, len(rows), 4096):
+        got += reader.feed((b'{"rev":9,"notices":' if not start else b"") + rows[start : start + 4096])
+    assert [event["rev"] for event in got] == list(range(11, 3_200))
+    assert reader.feed(b',{"rev":3200},{},{"rev":3201}') == [{"rev": 3_200}]
+    assert reader.error and reader.feed(b"]}") == [] and reader.finish() == [] and reader.rev == 3_200
+
+
+def answer(body):
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+
+
+class Sender:
+    """Sends as much of an answer as the gateway takes, turn by turn."""
+
+    def __init__(self, stage, data):
+        self.stage, self.data = stage, memoryview(data)
+
+    def __call__(self):
+        try:
+            while self.data:
+                self.data = self.data[self.stage.board.conns[-1].send(self.data) :]
+        except BlockingIOError:
+            pass
+        return not self.data
+
+
+@with_board
+def test_an_answer_too_long_to_hold_is_taken_in_slices_and_requests_are_answered_in_between(stage):
+    stage.until(lambda: b"watch=1&" in stage.board.poll())
+    stage.tell(1)
+    stage.until(lambda: b"linger=1500" in stage.board.poll())
+    count, made, slices = 70_000, int(time.time() * 1000), []
+    body = json.dumps({"notices": purges(2, count, made - 60_000), "rev": count + 1}).encode()
+    assert len(body) > 4 * 2**20
+    on_events = stage.gateway.discovery._on_events
+    stage.gateway.discovery._on_events = lambda events: (slices.append(len(events)), on_events(events))
+    send, client, most = Sender(stage, answer(body)), stage.client(), 0
+    asked = served = 0
+
+    def step():
+        nonlocal asked, served, most
+        send()
+        if asked == served:
+            asked += 1
+            client.call(asked, i=f"{asked:016x}", o="00000000000fffff")
+        while (line := stage.cache.line()) is not None:
+            stage.cache.say(f"{line.split()[1]} data version=aa,stamp=1,n=HIT 2\r\nhi\r\n".encode())
+        served = len(client.answers())
+        most, slices[:] = max(most, sum(slices)), []
+        return stage.gateway.discovery.rev == count + 1
+
+    stage.until(step)
+    assert most <= 1_500, "of one turn"
+    assert served >= 5 and "discovery_disconnected" not in stage.names()
+    stage.until(lambda: b"watch=%d&" % (count + 1) in stage.board.poll())
+
+
+@with_board
+def test_a_long_answer_that_is_cut_off_is_asked_for_again_from_its_last_whole_event(stage):
+    stage.until(lambda: b"watch=1&" in stage.board.poll())
+    body = json.dumps({"rev": 9_000, "notices": purges(2, 9_000, 5)}).encode()
+    cut = body.index(b'{"rev": 7000,') + 20
+    send = Sender(stage, answer(body)[: cut + len(answer(body)) - len(body)])
+    stage.until(send)
+    stage.board.conns.pop().close()
+    stage.until(lambda: b"watch=6999&" in stage.board.poll())
+    send = Sender(stage, answer(body[: cut - 20] + b"}" + body[cut - 20 :]))
+    stage.until(send)
+    stage.until(lambda: "discovery_response_invalid" in stage.names())
+    stage.board.data.clear()
+    stage.until(lambda: b"watch=6999&" in stage.board.poll())
+    assert stage.names().count("discovery_response_invalid") == 1
+
+
+@with_board
+def test_a_long_answer_is_waited_for_while_it_comes_and_no_longer(stage):
+    stage.until(lambda: b"watch=1&" in stage.board.poll())
+    rows = json.dumps(purges(2, 4_000, 5)).encode()
+    stage.board.say(b'HTTP/1.1 200 OK\r\nContent-Length: 999999\r\n\r\n{"rev":9,"notices":')
+    began, sent = time.monotonic(), 0
+    while time.monotonic() - began < 1.8:  # two and a half times what a silent one is given
+        stage.turn()
+        due = int((time.monotonic() - began) / 0.2) * 20_000
+        if sent < due:
+            stage.board.say(rows[sent:due])
+            sent = due
+    assert "discovery_disconnected" not in stage.names() and stage.gateway.discovery.rev > 1_000
+    stage.until(lambda: ("discovery_disconnected", {"why": "no answer in time"}) in stage.logged)
+
+
+@pytest.mark.parametrize(("chance", "least", "most"), [(0.0, 20, 20), (0.5, 30, 30), (0.999, 39, 40)])
+@with_board
+def test_retries_are_spread_and_the_first_comes_within_20_to_40_ms(stage, chance, least, most):
+    stage.until(lambda: b"watch=1&" in stage.board.poll())
+    client, waits = stage.gateway.discovery, []
+    after = stage.gateway.loop.after
+    client._random = lambda: chance
+    stage.gateway.loop.after = lambda ns, call: (waits.append((ns / MS, call)), after(ns, call))[1]
+    client.on_disconnect(client.stream, "lost")
+    assert [least <= wait <= most for wait, call in waits if call == client._connect] == [True]
+
+
+@with_board
+def test_a_poll_carries_what_its_owner_adds(stage):
+    stage.until(lambda: b"watch=1&" in stage.board.poll())
+    stage.gateway.discovery.query = lambda: "&low=1&count=3"
+    stage.tell(2, flush={"asset": OBJECT, "ms": 1})
+    stage.until(lambda: b"GET /board/poll?watch=2&linger=1500&low=1&count=3 HTTP/1.1" in stage.board.poll())
