--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -498,7 +498,7 @@
 
 
 def test_a_node_that_never_votes_polls_no_member_and_one_that_lost_its_disk_does():
-    """Seen in the scale runs: every node outside the voters asked each of them four times a second for ever."""
+    """Seen in the scale runs: every node outside the voters asked each of them four times a second."""
     members, start = (0, 1, 2), 1_700_000_000 * S
 
     def sent_in_a_minute(me):
