Call an operator's word done once its gateway has learned what came of it

Cause: RolloutPart._ticket (rollout/part.py) answered as soon as the majority's answer was there, and the value itself is learned by another datagram: a next word at the same gateway went by the term before and was refused ('the release stands at term 2 by now, you know 1').

Change: a ticket stays pending until the release's term is known here, for 2 s at most; a test of the order.

--- a/olivecourse/rollout/part.py
+++ b/olivecourse/rollout/part.py
@@ -11,6 +11,7 @@
 import socket
 import time
 from collections import deque
+from dataclasses import dataclass
 from random import Random
 from typing import Any
 
@@ -44,6 +45,7 @@
 READS = 256  # datagrams a turn
 MOST_STEPS = 1024  # that wait for the disk; beyond, what would be sent is lost as a datagram may be
 MOST_TICKETS = 64
+LEARN_NS = 2 * S  # for a majority's answer to be learned here too: it comes by another way
 STOP_S = 1.0
 VERSION = "OLIVECOURSE_VERSION"  # of this build, where an operator's tools name it
 
@@ -66,6 +68,14 @@
         return self._gates.describe(self._gate, *sides) if self._gate.look(*sides) else ""
 
 
+@dataclass(frozen=True)
+class Answered:
+    """What a majority made of an operator's word, and when that was known here."""
+
+    answer: Heard | None
+    at: int
+
+
 class RolloutPart(Part):
     """Raises ValueError where the gateway is not of the fleet, and OSError where it can't bind."""
 
@@ -97,7 +107,7 @@
         self._caught_up = votes
         self._steps: deque[Step] = deque()
         self._writing = False
-        self._answers: dict[int, Heard | None] = {}
+        self._answers: dict[int, Answered] = {}
         self._tickets: deque[int] = deque()
         self._planner: Planner | None = None
         self._leaves = False  # this gateway has its place to be out
@@ -339,7 +349,7 @@
                 self.host.log("rollout_peer_error", why=str(error))
         for handle, answer in step.done:
             if not self.agent.told(handle, answer, self.host.loop.clock.now()) and handle in self._tickets:
-                self._answers[handle] = answer
+                self._answers[handle] = Answered(answer, self.host.loop.clock.now())
 
     def _ready(self, mask: int) -> None:
         now = self.host.loop.clock.now()
@@ -417,8 +427,11 @@
             return _reply(404, {"ok": False, "why": "no such ticket"})
         if ticket not in self._answers:
             return _reply(200, {"pending": True})
-        answer = self._answers[ticket]
+        answered = self._answers[ticket]
+        answer, waited = answered.answer, self.host.loop.clock.now() - answered.at
         why, term = refused(answer), 0 if answer is None else answer.term
+        if not why and term > self.member.release.term and waited < LEARN_NS:
+            return _reply(200, {"pending": True})  # the next word must find here what this one has done
         return _reply(200, {"pending": False, "ok": not why, "why": why, "term": term})
 
     def _item(self, name: str) -> tuple[str, int] | None:
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 from random import Random
+from types import SimpleNamespace
 
 import pytest
 from fleetsim import GATES, STORES, Fleet, S
@@ -21,9 +22,10 @@
 from olivecourse.rollout.budgets import Budget, Group
 from olivecourse.rollout.gates import Counts, Gate
 from olivecourse.rollout.member import Halted, Tell
+from olivecourse.rollout.part import LEARN_NS, Answered, RolloutPart
 from olivecourse.rollout.places import Answer, Said, Why
 from olivecourse.rollout.register import Ballot, Recall, Register, Slot
-from olivecourse.rollout.releases import Plan, State, Word, flaws
+from olivecourse.rollout.releases import Heard, Plan, State, Word, flaws
 from olivecourse.rollout.section import read_rollout
 from olivecourse.rollout.store import Disk, Held, Torn
 from olivecourse.rollout.wire import MOST, BadDatagram, Keys, Wire
@@ -510,3 +512,17 @@
 
     assert sent_in_a_minute(7) == []
     assert any(isinstance(message, Recall) for message in sent_in_a_minute(0))
+
+
+def test_an_operators_word_is_done_once_its_gateway_knows_of_it_or_has_waited_for_long():
+    """Seen on a busy machine: `halt` was done, and `start` at the same gateway went by the term before."""
+    clock = SimpleNamespace(now=lambda: 5 * S)
+    part = SimpleNamespace(
+        _tickets=[4], _answers={4: Answered(Heard(True, 2, State.HALTED), 4 * S)},
+        host=SimpleNamespace(loop=SimpleNamespace(clock=clock)),
+        member=SimpleNamespace(release=SimpleNamespace(term=1)))
+    assert json.loads(RolloutPart._ticket(part, "4").body) == {"pending": True}
+    part.member.release.term = 2
+    assert json.loads(RolloutPart._ticket(part, "4").body)["ok"]
+    part.member.release.term, clock.now = 1, lambda: 4 * S + LEARN_NS
+    assert json.loads(RolloutPart._ticket(part, "4").body)["ok"]
