Serve discovery's long polls from a relay: role, section, server, status

A relay polls upstream once and answers all who wait with the same bytes. Reads, answers and deadlines are done in slices; slow readers, requests and tables are bounded.

--- a/olivecourse/cli.py
+++ b/olivecourse/cli.py
@@ -57,7 +57,7 @@
     FOUND = {"memory": "olivecourse.memory.commands", "storms": "olivecourse.storm.commands",
              "ops": "olivecourse.ops.commands", "rollout": "olivecourse.rollout.commands",
              "drain": "olivecourse.rollout.commands", "undrain": "olivecourse.rollout.commands",
-             "demo": "olivecourse.demo"}
+             "relay": "olivecourse.relay.commands", "demo": "olivecourse.demo"}
 
     def list_commands(self, ctx: click.Context) -> list[str]:
         return sorted([*super().list_commands(ctx), *self.FOUND])
@@ -84,12 +84,16 @@
 @main.command()
 @CONFIG
 @OPERATOR
-@click.option("--role", type=click.Choice(["gateway", "forwarder", "planner"]), default="gateway",
-              help="gateway: both in one process; the others need `planner` in the operator's file.")
+@click.option("--role", type=click.Choice(["gateway", "forwarder", "planner", "relay"]), default="gateway",
+              help="gateway: all in one process; forwarder and planner need `planner` in the operator's file,"
+                   " relay needs `relay`.")
 def serve(path: str | None = None, operator: str | None = None, role: str = "gateway") -> None:
     """Run one gateway, or one of its two halves, until SIGTERM; SIGHUP reads the configuration again."""
     # From the first moment: a signal that comes while this process starts must neither end it nor be lost.
     signals = Signals()
+    if role == "relay":
+        _serve_relay(operator, signals)
+        return
     config = _load(path, operator)
     logs.set_up()
     from olivecourse.gateway import Gateway  # only here: the other commands start faster without it
@@ -128,6 +132,39 @@
     gateway.run()
 
 
+def _serve_relay(operator: str | None, signals: Signals) -> None:
+    """A process that hands discovery's events on to many gateways."""
+    from olivecourse.config.sections import BadSection
+    from olivecourse.relay.commands import most_descriptors
+    from olivecourse.relay.section import read_relay
+    from olivecourse.relay.service import RelayService
+
+    if operator is None:
+        click.echo("olivecourse: --role relay needs --operator", err=True)
+        sys.exit(2)
+    try:
+        config = read_relay(operator)
+        logs.set_up()
+        log = logs.logger(relay=config.name)
+        relay = RelayService(config, log, most_descriptors())
+    except (BadSection, OSError, ValueError) as error:
+        click.echo(f"olivecourse: cannot start: {error}", err=True)
+        sys.exit(2)
+
+    def wake(mask: int) -> None:
+        came = signals.take()
+        if signal.SIGHUP in came:
+            try:
+                relay.reload(read_relay(operator))
+            except (BadSection, ValueError) as error:
+                log("reload_refused", why=str(error))
+        if came & {signal.SIGTERM, signal.SIGINT}:
+            relay.stop()
+
+    relay.loop.watch(signals.woken, 1, wake)
+    relay.run()
+
+
 @main.command()
 def version() -> None:
     """Print the versions of the program and of the libraries it stands on."""
--- /dev/null
+++ b/olivecourse/relay/deadlines.py
@@ -0,0 +1,69 @@
+"""Deadlines of many connections, each of which moves its own all the time; without I/O.
+
+Connections stand in buckets of time. One whose deadline is put off stays in its bucket and is moved when that
+comes due, so that a poll costs no timer of its own (the lazy form of a hashed timing wheel: G. Varghese and
+A. Lauck, "Hashed and Hierarchical Timing Wheels", 1987).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+BUCKET_NS = 20_000_000  # how late a deadline may be met; nothing here is judged by less
+
+
+class Deadline:
+    """Something that is to happen at `due_ns`."""
+
+    __slots__ = ("bucket", "call", "due_ns")
+
+    def __init__(self, call: Callable[[int], object]) -> None:
+        """`call` is given the moment at which the deadline was found to be over."""
+        self.call = call
+        self.due_ns = 0  # 0: never
+        self.bucket = 0  # the earliest one that holds it; 0: none
+
+
+class Deadlines:
+    """All deadlines of a server, met up to BUCKET_NS late and never early."""
+
+    def __init__(self, now: int) -> None:
+        self._buckets: dict[int, list[Deadline]] = {}
+        self._next = now // BUCKET_NS  # the first bucket that has not been looked at
+
+    def set(self, deadline: Deadline, due_ns: int) -> None:
+        """Moves `deadline` to `due_ns`."""
+        deadline.due_ns = due_ns
+        bucket = max(due_ns // BUCKET_NS + 1, self._next)
+        if deadline.bucket and deadline.bucket <= bucket:
+            return
+        self._insert(deadline, bucket)
+
+    def _insert(self, deadline: Deadline, bucket: int) -> None:
+        deadline.bucket = bucket
+        entries = self._buckets.get(bucket)
+        if entries is None:
+            self._buckets[bucket] = [deadline]
+        else:
+            entries.append(deadline)
+
+    def take_due(self, now: int) -> list[Deadline]:
+        """Takes out those that are over by `now`, the earliest first, for the caller to call."""
+        due: list[Deadline] = []
+        last = now // BUCKET_NS
+        while self._next <= last:
+            bucket = self._next
+            self._next = bucket + 1
+            for deadline in self._buckets.pop(bucket, ()):
+                if (
+                    deadline.bucket != bucket or not deadline.due_ns
+                ):  # it stands in an earlier one, or is void
+                    if deadline.bucket == bucket:
+                        deadline.bucket = 0
+                    continue
+                deadline.bucket = 0
+                if deadline.due_ns <= now:
+                    due.append(deadline)
+                else:
+                    self._insert(deadline, deadline.due_ns // BUCKET_NS + 1)
+        return due
--- /dev/null
+++ b/olivecourse/relay/service.py
@@ -0,0 +1,136 @@
+"""A relay as a process of its own: one poll upstream, and a server for the polls of many watchers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from olivecourse.config.address import Address, parse_address
+from olivecourse.net.discovery_client import DiscoveryClient
+from olivecourse.net.loop import Loop
+from olivecourse.relay.history import EventHistory
+from olivecourse.relay.section import FIXED_AT_START, MS, RelayConfig, RelaySection, S
+from olivecourse.relay.server import RelayServer, ServerLimits
+from olivecourse.relay.status import encode_status
+from olivecourse.relay.watermarks import LowWaterMark
+
+# Of the shortest grace, what one level of relays may add to the way of an event: two levels take a tenth.
+PACE_SHARE = 20
+STOP_WITHIN_NS = 800 * MS  # of a second, so that a process that is told to stop is gone within it
+STOP_LOOK_NS = 10 * MS
+SPARE_DESCRIPTORS = 64  # beside watchers: logs, the listening socket, the poll upstream, those turned away
+
+
+def server_limits(section: RelaySection, most_descriptors: int) -> ServerLimits:
+    """The server's limits; no more watchers than there are descriptors for."""
+    return ServerLimits(
+        most_watchers=max(min(section.most_watchers, most_descriptors - SPARE_DESCRIPTORS), 1),
+        longest_wait_ms=section.longest_wait_ms,
+        read_timeout_ns=section.read_timeout_ms * MS,
+        idle_timeout_ns=section.idle_timeout_ms * MS,
+        most_unread_bytes=section.most_unread_kb * 1024,
+        pace_ns=section.shortest_grace_ms * MS // PACE_SHARE,
+    )
+
+
+class RelayService:
+    """Ties the history, the marks, the server and the poll upstream together."""
+
+    def __init__(self, config: RelayConfig, log: Callable[..., None], most_descriptors: int) -> None:
+        """Raises OSError where the address can't be listened at."""
+        section = config.section
+        self.name = config.name
+        self.loop = Loop()
+        self.log = log
+        self.loop.stalled = lambda wall, cpu: log("loop_stalled", ms=wall // MS, cpu_ms=cpu // MS)
+        self.loop.faulted = lambda where, error: log("loop_fault", where=where, error=repr(error))
+        self._section = section
+        self._most_descriptors = most_descriptors
+        started_ns = self.loop.clock.now()
+        self.history = EventHistory(section.history_limits())
+        self.marks = LowWaterMark(
+            int(section.lease_s * S), most_watchers=2 * section.most_watchers, started_ns=started_ns
+        )
+        limits = server_limits(section, most_descriptors)
+        if limits.most_watchers < section.most_watchers:
+            log("relay_watchers_limited", most=limits.most_watchers, descriptors=most_descriptors)
+        address = parse_address(section.listen)
+        self.server = RelayServer(self.loop, address, self.history, self.marks, limits, self._status, log)
+        self._marked_from_ns = started_ns + int(section.lease_s * S)
+        self._stop_by_ns = 0
+        self._was_ready = False
+        self.upstream_answers = 0
+        self.upstream_since_ns = started_ns
+        self._client = DiscoveryClient(self.loop, section.addresses()[0], 0, self._on_events, log)
+
+    @property
+    def upstream(self) -> Address:
+        """The address that is polled."""
+        return self._client.address
+
+    def _status(self, target: bytes, now: int) -> bytes:
+        return encode_status(self, target, now)
+
+    def _on_events(self, events: list[Any]) -> None:
+        """Events from upstream, in the order of their numbers."""
+        self.upstream_answers += 1
+        result = self.history.append(events, self.loop.clock.now())
+        if result.invalid:
+            self.log("relay_event_invalid", count=result.invalid)
+        if result.taken:
+            self.server.events_appended()
+        if self.history.ready and not self._was_ready:
+            self._was_ready = True
+            self.log("relay_list_known", revision=self.history.revision)
+
+    def upstream_query(self) -> str:
+        """What a poll upstream tells of all below, for relays of ours; others ignore it.
+
+        Nothing is proven while there is no mark, unless there is nobody below.
+        """
+        now = self.loop.clock.now()
+        count = self.marks.counted(now)
+        mark = self.marks.mark(now)
+        if mark is None:
+            nobody = not count and now >= self._marked_from_ns
+            mark = self.history.revision if nobody else 0
+        return f"&low={mark}&count={count}"
+
+    def stop(self) -> None:
+        """Answers what waits and ends within a second."""
+        if self._stop_by_ns:
+            return
+        self._stop_by_ns = self.loop.clock.now() + STOP_WITHIN_NS
+        self.log("stopping", waiting=self.server.waiting)
+        self._client.stop()
+        self.server.stop()
+        self._look_whether_done()
+
+    def _look_whether_done(self) -> None:
+        if not self.server.unanswered or self.loop.clock.now() >= self._stop_by_ns:
+            self.loop.running = False
+        else:
+            self.loop.after(STOP_LOOK_NS, self._look_whether_done)
+
+    def reload(self, config: RelayConfig) -> None:
+        """Goes by another configuration; what only a start can change is named."""
+        old, fresh = self._section, config.section
+        needs_restart = [name for name in FIXED_AT_START if getattr(old, name) != getattr(fresh, name)]
+        self._section = fresh
+        self.server.apply_limits(server_limits(fresh, self._most_descriptors))
+        self._client.move(fresh.addresses()[0])
+        moved = ["upstreams"] if old.upstreams != fresh.upstreams else []
+        self.log("reloaded", moved=moved, needs_restart=needs_restart)
+
+    def run(self) -> None:
+        """Serves until it is told to stop."""
+        self.log("ready", listen=f"{self._section.listen.rpartition(':')[0]}:{self.server.port}")
+        self.loop.run(self.server.turn_ended)
+        self.close()
+        self.log("stopped", polls=self.server.counters.polls, answers=self.server.counters.answers)
+
+    def close(self) -> None:
+        """Ends everything at once."""
+        self._client.stop()
+        self.server.close()
+        self.loop.close()
--- /dev/null
+++ b/olivecourse/relay/status.py
@@ -0,0 +1,67 @@
+"""What a relay tells operators: one JSON object for `GET /relay/status`.
+
+`?behind=N` names those that have not taken event N; without it, those that have not taken the newest.
+"""
+
+from __future__ import annotations
+
+import json
+from dataclasses import asdict
+from typing import TYPE_CHECKING, Any
+
+from olivecourse.relay.requests import number_parameter
+
+if TYPE_CHECKING:
+    from olivecourse.relay.service import RelayService
+
+S = 1_000_000_000
+MOST_NAMED = 200  # of those behind: some 20 KB
+BEHIND = b"behind"
+
+
+def encode_status(relay: RelayService, target: bytes, now: int) -> bytes:
+    """The body for a status call; raises BadTarget. `now` is Unix time in nanoseconds."""
+    asked = number_parameter(target, BEHIND)
+    number = relay.history.revision if asked is None else asked
+    mark = relay.marks.mark(now)
+    behind = relay.marks.behind(number, now)
+    named: list[dict[str, Any]] = []
+    for watcher in behind[:MOST_NAMED]:
+        seconds = round((now - watcher.since_ns) / S, 3)
+        named.append(
+            {
+                "watcher": watcher.name,
+                "number": watcher.revision,
+                "seconds": seconds,
+                "lapsed": watcher.lapsed,
+            }
+        )
+    host, port = relay.upstream
+    status = {
+        "name": relay.name,
+        "revision": relay.history.revision,
+        "ready": relay.history.ready,
+        "upstream": {
+            "address": f"{host}:{port}",
+            "seconds": round((now - relay.upstream_since_ns) / S, 3),
+            "answered": relay.upstream_answers,
+        },
+        "watchers": {
+            "connections": len(relay.server.watchers),
+            "waiting": relay.server.waiting,
+            "counted": relay.marks.counted(now),
+        },
+        "mark": mark,
+        "asked": number,
+        "passed": mark is not None and mark >= number,
+        "behind_total": len(behind),
+        "behind": named,
+        "unread_bytes": relay.server.unread_bytes,
+        "longest_turn_ms": round(relay.loop.longest_ns / 1_000_000, 1),
+        "counters": {
+            **asdict(relay.server.counters),
+            "history": asdict(relay.history.counters),
+            "marks": asdict(relay.marks.counters),
+        },
+    }
+    return json.dumps(status).encode()
