--- a/olivecourse/relay/server.py
+++ b/olivecourse/relay/server.py
@@ -153,7 +153,7 @@
         """Thousands may be due at once: those that one slice leaves have the next turn."""
         began = now = self.loop.clock.now()
         called = 0
-        while called < len(due) and now - began < SLICE_NS:
+        while called < len(due) and now - began <= SLICE_NS:
             deadline = due[called]
             called += 1
             if deadline.due_ns and deadline.due_ns <= now:  # not moved since
@@ -338,7 +338,7 @@
 
     def _answer_slice(self) -> None:
         began = now = self.loop.clock.now()
-        while self._to_answer and now - began < SLICE_NS:
+        while self._to_answer and now - began <= SLICE_NS:
             watcher = self._to_answer.pop()
             if watcher.state == WAITING:
                 self._answer(watcher, now)
@@ -385,7 +385,7 @@
 
     def _end_waits(self, watchers: list[WatcherConnection]) -> None:
         began = now = self.loop.clock.now()
-        while watchers and now - began < SLICE_NS:
+        while watchers and now - began <= SLICE_NS:
             watcher = watchers.pop()
             if watcher.state == WAITING and not self._answer(watcher, now):
                 self.wait_ended(watcher, now)
--- a/olivecourse/relay/unread.py
+++ b/olivecourse/relay/unread.py
@@ -44,7 +44,10 @@
         self._size -= len(answer)
 
     def slowest(self) -> int | None:
-        """The reader stuck for longest while all together hold too much; else None."""
-        if self._size <= self.most_bytes or not self._readers:
+        """The reader stuck for longest while all together hold too much; else None.
+
+        One answer may be held whatever its length: else nobody could ever be sent it.
+        """
+        if self._size <= self.most_bytes or len(self._held) < 2:
             return None
         return next(iter(self._readers))
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,14 +1,20 @@
 """Relays over real sockets: what gateways and relays below see, and what hostile ones do not change."""
 
 import json
+import os
+import re
+import signal
 import socket
+import subprocess
+import sys
 import time
+from pathlib import Path
 
 import pytest
 
 from olivecourse.emulator.board import Board
 from olivecourse.emulator.stores import World
-from olivecourse.relay.section import RelayConfig, RelaySection
+from olivecourse.relay.section import RelayConfig, RelaySection, read_relay
 from olivecourse.relay.service import RelayService
 
 MEMBER = {
@@ -23,6 +29,7 @@
 }
 WHOLE_LIST = {"revision": 1, "complete": True, "members": [MEMBER]}
 DESCRIPTORS = 20_000
+ROOT = Path(__file__).resolve().parent.parent
 
 
 def poll_target(watch, linger, more=""):
@@ -168,3 +175,398 @@
         200,
         {"rev": 2, "notices": [{"rev": 2, "flush": {"collection": 3, "ms": 5}}]},
     )
+
+
+def test_numbers_above_ours_and_long_lingers_wait_and_unknown_parameters_are_ignored(stage):
+    relay = stage.relay(longest_wait_ms=100)
+    stage.known(relay)
+    watcher = stage.watcher(relay)
+    watcher.poll(9, 9_000_000, "&more=1&lows")
+    assert stage.answer(watcher) == (200, {"rev": 1, "notices": []})
+    watcher.get("/board/poll?linger=10&x=%20&watch=0")  # the longer way of parsing, on the same connection
+    assert numbers(stage.answer(watcher)[1]) == [1]
+
+
+def test_who_waits_at_one_number_shares_one_encoding_and_is_answered_in_slices(stage, monkeypatch):
+    """With slices of no length every watcher has a turn of its own, and events come between them."""
+    monkeypatch.setattr("olivecourse.relay.server.SLICE_NS", 0)
+    relay = stage.relay()
+    stage.known(relay)
+    watchers = [stage.watcher(relay) for _ in range(40)]
+    for watcher in watchers:
+        watcher.poll(1, 5000)
+    stage.until(lambda: relay.server.waiting == 40)
+    stage.board.publish(flush={"collection": 3, "ms": 5})
+    stage.until(lambda: 0 < relay.server.waiting < 40)
+    stage.board.publish(flush={"collection": 4, "ms": 6})
+    for watcher in watchers:
+        status, body = stage.answer(watcher)
+        assert status == 200 and numbers(body) in ([2], [2, 3])
+        if body["rev"] == 2:
+            watcher.poll(2, 5000)
+            assert numbers(stage.answer(watcher)[1]) == [3]
+    assert relay.history.counters.answers_encoded <= 3
+    assert relay.history.counters.answers_shared >= 38
+
+
+def test_pipelined_polls_are_answered_one_at_a_time_and_in_order(stage):
+    relay = stage.relay()
+    stage.known(relay)
+    watcher = stage.watcher(relay)
+    for watch, linger in ((0, 0), (1, 60), (0, 5000), (1, 0)):
+        watcher.poll(watch, linger)
+    answers = [stage.answer(watcher)[1] for _ in range(4)]
+    assert [numbers(body) for body in answers] == [[1], [], [1], []]
+
+
+HOSTILE = {
+    "no HTTP": (b"\x00\xff\x00\r\n\r\n", 400),
+    "no target": (b"GET\r\n\r\n", 400),
+    "upgrade": (
+        b"GET /board/poll?watch=0&linger=0 HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n",
+        400,
+    ),
+    "long head": (b"GET / HTTP/1.1\r\nX: " + b"a" * 20_000, 431),
+    "long target": (b"GET /" + b"a" * 20_000, 431),
+    "long body": (b"GET /nope HTTP/1.1\r\nContent-Length: 99999\r\n\r\n" + b"a" * 20_000, 431),
+    "many at once": (b"GET /board/poll?watch=1&linger=5000 HTTP/1.1\r\n\r\n" * 160, 400),
+    "method": (b"POST /board/poll?watch=0&linger=0 HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 405),
+    "path": (b"GET /board/other?watch=0&linger=0 HTTP/1.1\r\n\r\n", 404),
+    "no numbers": (b"GET /board/poll HTTP/1.1\r\n\r\n", 400),
+    "no linger": (b"GET /board/poll?watch=0 HTTP/1.1\r\n\r\n", 400),
+    "broken watch": (b"GET /board/poll?watch=-1&linger=0 HTTP/1.1\r\n\r\n", 400),
+    "huge watch": (b"GET /board/poll?watch=9999999999999999999&linger=0 HTTP/1.1\r\n\r\n", 400),
+    "longer watch": (b"GET /board/poll?watch=" + b"9" * 5_000 + b"&linger=0 HTTP/1.1\r\n\r\n", 400),
+    "broken linger": (b"GET /board/poll?watch=0&linger=1.5 HTTP/1.1\r\n\r\n", 400),
+    "broken low": (b"GET /board/poll?watch=0&linger=0&low=x&count=2 HTTP/1.1\r\n\r\n", 400),
+    "broken status": (b"GET /relay/status?behind=x HTTP/1.1\r\n\r\n", 400),
+}
+
+
+@pytest.mark.parametrize("name", HOSTILE)
+def test_hostile_input_gets_an_error_and_a_close_and_does_not_touch_others(stage, name):
+    data, expected = HOSTILE[name]
+    relay = stage.relay()
+    stage.known(relay)
+    other = stage.watcher(relay)
+    other.poll(1, 5000)
+    hostile = stage.watcher(relay)
+    for start in range(0, len(data), 5_000):  # in parts, so that none of it is still unsent at the answer
+        hostile.send(data[start : start + 5_000])
+        stage.turn()
+    assert stage.answer(hostile)[0] == expected
+    stage.until(lambda: hostile.look() is not None and hostile.closed)
+    assert relay.server.counters.bad_requests == 1 and "relay_bad_request" in stage.names()
+    hostile.sock.close()
+    stage.until(lambda: len(relay.server.watchers) == 1)
+    stage.board.publish(flush={"collection": 3, "ms": 5})
+    assert numbers(stage.answer(other)[1]) == [2]
+
+
+def test_a_connection_that_asks_nothing_is_closed_and_a_full_table_refuses(stage):
+    relay = stage.relay(most_watchers=1, idle_timeout_ms=200)
+    stage.known(relay)
+    idle = stage.watcher(relay)
+    idle.send(b"GET /board/poll?watch=0&lin")
+    stage.until(lambda: relay.server.watchers)
+    refused = stage.watcher(relay)
+    assert stage.answer(refused) == (503, "this relay is full\n")
+    stage.until(lambda: idle.look() is not None and idle.closed)
+    assert not idle.answers
+    counters = relay.server.counters
+    assert (counters.refused_full, counters.idle_closed) == (1, 1)
+    watcher = stage.watcher(relay)
+    watcher.poll(0, 0)
+    assert stage.answer(watcher)[0] == 200
+
+
+def test_a_slow_reader_is_cut_off_with_a_reason_while_others_are_served(stage):
+    """Two answers are unread and together over the bound: who has been stuck for longest goes."""
+    relay = stage.relay(most_unread_kb=2_048, history_kb=65_536, history_events=100_000)
+    stage.known(relay)
+    slow = stage.watcher(relay, receive_buffer=4_096)
+    other = stage.watcher(relay)
+    purges = [
+        {"rev": n, "flush": {"asset": f"{n:016x}", "ms": 5}, "more": "x" * 100} for n in range(2, 12_000)
+    ]
+    relay.history.append(purges, relay.loop.clock.now())
+    slow.poll(0, 0)
+    stage.until(lambda: relay.server.unread_bytes)
+    relay.history.append([{"rev": 12_000, "flush": {"collection": 3, "ms": 6}}], relay.loop.clock.now())
+    other.poll(0, 0)
+    assert len(stage.answer(other)[1]["notices"]) == 12_000
+    assert relay.server.unread_bytes == 0 and relay.server.counters.cut_off == 1
+    assert [v["why"] for e, v in stage.logged if e == "relay_watcher_cut_off"] == [
+        "unread answers over the limit"
+    ]
+    stage.until(lambda: slow.look() is not None and slow.closed)
+    assert not slow.answers
+
+
+def test_a_reader_that_takes_nothing_is_cut_off_in_time(stage):
+    relay = stage.relay(read_timeout_ms=100, history_kb=65_536, history_events=100_000)
+    stage.known(relay)
+    slow, slower = stage.watcher(relay, receive_buffer=4_096), stage.watcher(relay, receive_buffer=4_096)
+    purges = [
+        {"rev": n, "flush": {"asset": f"{n:016x}", "ms": 5}, "more": "x" * 100} for n in range(2, 12_000)
+    ]
+    relay.history.append(purges, relay.loop.clock.now())
+    body = relay.history.since(0, relay.loop.clock.now())
+    slow.poll(0, 0)
+    slower.poll(0, 0)
+    stage.until(lambda: relay.server.unread_bytes == len(body))  # what both have not read counts once
+    stage.until(lambda: slow.take())  # it reads
+    stage.until(lambda: relay.server.counters.cut_off)
+    assert relay.server.unread_bytes == 0 and relay.server.counters.cut_off == 1 and not slow.closed
+
+
+def test_before_a_whole_list_is_known_polls_are_held_and_then_refused(stage):
+    stage.board.refuse()
+    relay = stage.relay()
+    watcher = stage.watcher(relay)
+    began = time.monotonic()
+    watcher.poll(0, 150)
+    assert stage.answer(watcher) == (503, "no whole list is known yet\n")
+    assert time.monotonic() - began >= 0.15
+    held = stage.watcher(relay)
+    held.poll(0, 5000)
+    stage.until(lambda: relay.server.waiting)
+    stage.board.resume()
+    assert numbers(stage.answer(held)[1]) == [1]
+    stage.board.refuse()  # what is known is served on
+    stage.until(lambda: stage.names().count("discovery_disconnected") > 3)
+    held.poll(0, 0)
+    assert numbers(stage.answer(held)[1]) == [1]
+    held.poll(1, 50)
+    assert stage.answer(held) == (200, {"rev": 1, "notices": []})
+
+
+@pytest.mark.parametrize("later", [0, 1, 2])
+def test_an_upstream_that_comes_back_with_older_numbers_or_none_changes_nothing(stage, later):
+    for number in range(2, 6):
+        stage.board.publish(flush={"collection": number, "ms": 5})
+    relay = stage.relay()
+    stage.known(relay)
+    watcher = stage.watcher(relay)
+    watcher.poll(5, 5000)
+    stage.until(lambda: relay.server.waiting)
+    stage.board.refuse()
+    stage.board.rev = later
+    del stage.board._events[later:]
+    stage.board.resume()
+    stage.until(lambda: "discovery_revision_decreased" in stage.names())
+    assert relay.server.waiting == 1 and relay.history.revision == 5
+    late = stage.watcher(relay)
+    late.poll(3, 5000)
+    assert numbers(stage.answer(late)[1]) == [4, 5]
+    stage.board.rev = 8  # numbers may jump
+    stage.board.publish(flush={"collection": 9, "ms": 6})
+    assert numbers(stage.answer(watcher)[1]) == [9]
+
+
+def test_an_hours_backlog_gives_an_answer_of_what_is_live(stage):
+    """60,000 purges of an hour, the last 500 of them unsettled, and a store that went and came."""
+    relay = stage.relay(history_events=100, purge_retention_s=10)
+    stage.known(relay)
+    now_ms = relay.loop.clock.now() // 1_000_000
+    went = {"revision": 2, "complete": False, "members": [MEMBER | {"phase": "Gone"}]}
+    came = {"revision": 3, "complete": False, "members": [MEMBER | {"host_port": "127.0.0.1:10"}]}
+    events = [{"rev": 2, "pool": went}, {"rev": 3, "pool": came}]
+    for number in range(4, 60_004):
+        made_ms = now_ms if number >= 59_504 else now_ms - 60_000
+        events.append({"rev": number, "flush": {"asset": f"{number:016x}", "ms": made_ms}})
+    for start in range(0, len(events), 5_000):
+        relay.history.append(events[start : start + 5_000], relay.loop.clock.now())
+    watcher = stage.watcher(relay)
+    watcher.poll(1, 0)
+    status, body = stage.answer(watcher)
+    assert status == 200 and body["rev"] == 60_003 and len(body["notices"]) <= 501 + 1
+    purged = [event["flush"]["asset"] for event in body["notices"] if "flush" in event]
+    assert purged == [f"{number:016x}" for number in range(59_504, 60_004)]
+    (listed,) = [event["pool"] for event in body["notices"] if "pool" in event]
+    assert listed["complete"] and [m["host_port"] for m in listed["members"]] == ["127.0.0.1:10"]
+
+
+def test_a_watcher_too_old_for_a_full_history_is_refused_and_not_left_to_wait(stage):
+    relay = stage.relay(history_events=1, most_purges=1)
+    stage.known(relay)
+    now_ms = relay.loop.clock.now() // 1_000_000
+    events = [{"rev": n, "flush": {"collection": n, "ms": now_ms}} for n in range(2, 9)]
+    relay.history.append(events, relay.loop.clock.now())
+    watcher = stage.watcher(relay)
+    watcher.poll(1, 5000)
+    assert stage.answer(watcher)[0] == 503 and relay.server.counters.too_old == 1
+    other = stage.watcher(relay)
+    other.poll(7, 5000)
+    assert numbers(stage.answer(other)[1]) == [8]
+
+
+def test_status_tells_the_mark_and_who_is_behind(stage):
+    relay = stage.relay(lease_s=3.0, longest_wait_ms=1_000)
+    stage.known(relay)
+    stage.board.publish(flush={"collection": 3, "ms": 5})
+    stage.known(relay)
+    ahead, behind, asking = (stage.watcher(relay) for _ in range(3))
+    name = "{}:{}".format(*behind.sock.getsockname())
+    behind.poll(1, 0)
+    stage.answer(behind)
+
+    def told():
+        ahead.poll(2, 0)
+        stage.answer(ahead)
+        asking.get("/relay/status?behind=2")
+        return stage.answer(asking)[1]
+
+    first = told()
+    assert first["mark"] is None and not first["passed"]  # an earlier life's watchers may not be back yet
+    assert first["behind_total"] == 1 and first["behind"][0]["watcher"] == name
+    assert first["behind"][0]["number"] == 1 and first["watchers"]["counted"] == 2
+
+    def passed():
+        return (found := told())["passed"] and found
+
+    last = stage.until(passed)  # its lease is over
+    assert last["mark"] == 2 and last["watchers"]["counted"] == 1
+    assert last["behind"][0] == {"watcher": name, "number": 1, "lapsed": True} | {
+        "seconds": last["behind"][0]["seconds"]
+    }
+
+
+class Processes:
+    """Relays as an operator starts them, before a board in this process; ended by their own ids."""
+
+    def __init__(self, folder):
+        self.folder, self.started = folder, []
+        self.world = World([], lambda *asked: None)
+        self.board = Board(self.world)
+        self.board.publish(pool=WHOLE_LIST)
+
+    def write(self, number, *upstreams, **more):
+        section = {"listen": "127.0.0.1:0", "upstreams": list(upstreams), **more}
+        path = self.folder / f"{number}.yaml"
+        path.write_text(json.dumps({"name": f"relay-{number}", "relay": section}))  # JSON is YAML too
+        return path
+
+    def start(self, *upstreams, **more):
+        number = len(self.started)
+        path = self.write(number, *(upstreams or [self.board.address]), **more)
+        words = ["serve", "--role", "relay", "--operator", str(path)]
+        with self.log(number).open("w") as log:
+            self.started.append(
+                subprocess.Popen([sys.executable, "-m", "olivecourse", *words], cwd=ROOT, stderr=log)
+            )
+        return number
+
+    def log(self, number):
+        return self.folder / f"{number}.log"
+
+    def until(self, what, seconds=20):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self.world.run(0.005)
+            if found := what():
+                return found
+        raise AssertionError([self.log(n).read_text() for n in range(len(self.started))])
+
+    def logged(self, number, event):
+        return self.until(lambda: re.search(rf'.*"event": "{event}".*', self.log(number).read_text()))[0]
+
+    def port(self, number):
+        self.logged(number, "relay_list_known")
+        return int(json.loads(self.logged(number, "ready"))["listen"].rpartition(":")[2])
+
+    def ask(self, *words):
+        asking = subprocess.Popen(
+            [sys.executable, "-m", "olivecourse", *words], cwd=ROOT, stdout=subprocess.PIPE, text=True
+        )
+        self.until(lambda: asking.poll() is not None)
+        return asking.returncode, asking.communicate()[0]
+
+    def close(self):
+        for process in self.started:
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+        self.board.close()
+        self.world.close()
+
+
+@pytest.fixture
+def processes(tmp_path):
+    made = Processes(tmp_path)
+    yield made
+    made.close()
+
+
+def test_a_relays_process_reloads_and_ends_within_a_second_with_its_polls_answered(processes):
+    relay = processes.start()
+    watchers = [Watcher(processes.port(relay)) for _ in range(20)]
+    for watcher in watchers:
+        watcher.poll(1, 5000)
+    processes.write(relay, "nobody", longest_wait_ms=100)
+    processes.started[relay].send_signal(signal.SIGHUP)
+    assert "nobody" in json.loads(processes.logged(relay, "reload_refused"))["why"]
+    processes.write(relay, processes.board.address, longest_wait_ms=100, lease_s=20)
+    processes.started[relay].send_signal(signal.SIGHUP)
+    assert json.loads(processes.logged(relay, "reloaded"))["needs_restart"] == ["lease_s"]
+    quick = Watcher(processes.port(relay))
+    quick.poll(1, 5000)
+    assert processes.until(quick.take) == (200, b'{"rev":1,"notices":[]}')
+    began = time.monotonic()
+    processes.started[relay].send_signal(signal.SIGTERM)
+    assert [processes.until(watcher.take) for watcher in watchers] == [(200, b'{"rev":1,"notices":[]}')] * 20
+    processes.until(lambda: processes.started[relay].poll() is not None)
+    assert processes.started[relay].returncode == 0 and time.monotonic() - began < 5
+    for watcher in [*watchers, quick]:
+        watcher.sock.close()
+
+
+def test_operators_ask_who_is_behind(processes):
+    relay = processes.start(lease_s=3, longest_wait_ms=1000)
+    port = processes.port(relay)
+    watcher = Watcher(port)
+    name = "{}:{}".format(*watcher.sock.getsockname())
+
+    def polled():
+        watcher.poll(1, 0)
+        return processes.until(watcher.take)
+
+    polled()
+    code, text = processes.ask("relay", "status", f"127.0.0.1:{port}", "--number", "2")
+    assert code == 1 and f"{name} at 1" in text and "not proven" in text
+    code, text = processes.until(
+        lambda: (
+            polled() and (asked := processes.ask("relay", "status", f"127.0.0.1:{port}"))[0] == 0 and asked
+        )
+    )
+    assert "low-water mark 1\n" in text and "event 1: in force everywhere below" in text
+    code, text = processes.ask("relay", "status", f"127.0.0.1:{port}", "--json")
+    assert json.loads(text)["mark"] == 1
+    watcher.sock.close()
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "name: x\n",
+        "relay: {listen: '127.0.0.1:0', upstreams: []}\n",
+        "relay: {listen: here, upstreams: ['127.0.0.1:1']}\n",
+        "relay: {listen: '127.0.0.1:0', upstreams: ['127.0.0.1:1'], lease_s: 2}\n",
+        "relay: {listen: '127.0.0.1:0', upstreams: ['127.0.0.1:1'], leases: 2}\n",
+        "relay: {listen: '127.0.0.1:TAKEN', upstreams: ['127.0.0.1:1']}\n",
+        "relay: [\n",
+    ],
+)
+def test_a_bad_configuration_is_one_line_and_exit_2(tmp_path, text):
+    path = tmp_path / "relay.yaml"
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        path.write_text(text.replace("TAKEN", str(taken.getsockname()[1])))
+        words = [sys.executable, "-m", "olivecourse", "serve", "--role", "relay", "--operator", str(path)]
+        done = subprocess.run(words, cwd=ROOT, capture_output=True, text=True, timeout=30, env=os.environ)
+    assert done.returncode == 2 and done.stderr.startswith("olivecourse: ")
+    assert done.stderr.count("\n") == 1
+
+
+def test_the_example_can_be_read():
+    config = read_relay(str(ROOT / "deploy" / "relay.yaml"))
+    assert config.section.upstreams == ["127.0.0.1:7000", "127.0.0.1:7001"]
