--- a/build_native.py
+++ b/build_native.py
@@ -18,7 +18,9 @@
 # Where the time goes. The rest is small, or holds what mypyc does not take (slotted dataclasses).
 HOT = ("choice", "ring", "config/discovery_events", "gateway", "core/ledger", "core/planner", "net/loop",
        "net/wheel", "net/ringbuf", "net/stream", "net/stores", "net/discovery_client", "net/peers",
-       "fronts/thrift", "fronts/listener", "fronts/signed", "ops/door")  # the last two extend compiled ones
+       "relay/event_log", "relay/history", "relay/watermarks", "relay/requests", "relay/deadlines", "relay/server",
+       "fronts/thrift", "fronts/listener",
+       "fronts/signed", "ops/door", "relay/connection")  # which extend compiled ones
 
 
 def digest() -> str:
