--- a/build_native.py
+++ b/build_native.py
@@ -16,11 +16,13 @@
 ROOT = Path(__file__).resolve().parent
 TARGET, WORK = ROOT / ".native", ROOT / ".native.new"
 # Where the time goes. The rest is small, or holds what mypyc does not take (slotted dataclasses).
-HOT = ("choice", "ring", "config/discovery_events", "gateway", "core/ledger", "core/planner", "net/loop",
-       "net/wheel", "net/ringbuf", "net/stream", "net/stores", "net/discovery_client", "net/peers",
-       "relay/event_log", "relay/history", "relay/watermarks", "relay/requests", "relay/deadlines", "relay/server",
-       "fronts/thrift", "fronts/listener",
-       "fronts/signed", "ops/door", "relay/connection")  # which extend compiled ones
+HOT = ("choice", "ring", "purge_table", "config/discovery_events", "control_plane", "gateway",
+       "core/ledger", "core/planner",
+       "net/loop", "net/wheel", "net/ringbuf", "net/stream", "net/stores", "net/discovery_client",
+       "net/peers", "fronts/thrift", "fronts/listener",
+       "fronts/signed", "ops/door")  # which extend compiled ones
+RELAY = ("relay/event_log", "relay/history", "relay/watermarks", "relay/requests", "relay/deadlines",
+         "relay/server", "relay/connection")
 
 
 def digest() -> str:
@@ -42,7 +44,7 @@
 
     Path("mypy.ini").write_text("[mypy]\n[mypy-thrift.*,re2]\nignore_missing_imports = True\n")
     setup(name="olivecourse-native", packages=[], script_args=["-q", "build_ext", "--inplace"],
-          ext_modules=mypycify([f"olivecourse/{name}.py" for name in HOT], opt_level="2", debug_level="0"))
+          ext_modules=mypycify([f"olivecourse/{name}.py" for name in (*HOT, *RELAY)], opt_level="2", debug_level="0"))
 
 
 def main() -> int:
