--- a/build_native.py
+++ b/build_native.py
@@ -44,7 +44,8 @@
 
     Path("mypy.ini").write_text("[mypy]\n[mypy-thrift.*,re2]\nignore_missing_imports = True\n")
     setup(name="olivecourse-native", packages=[], script_args=["-q", "build_ext", "--inplace"],
-          ext_modules=mypycify([f"olivecourse/{name}.py" for name in (*HOT, *RELAY)], opt_level="2", debug_level="0"))
+          ext_modules=mypycify([f"olivecourse/{name}.py" for name in (*HOT, *RELAY)], opt_level="2",
+                               debug_level="0"))
 
 
 def main() -> int:
--- a/tests/test_library.py
+++ b/tests/test_library.py
@@ -45,7 +45,8 @@
 # What `ruff format` keeps: everything renamed or new; the rest follows as it is touched.
 FORMATTED = ("olivecourse/config", "olivecourse/net/discovery_client.py", "olivecourse/control_plane.py",
              "olivecourse/purge_table.py", "tests/test_discovery.py")
-FORMATTED += ("olivecourse/discovery", "olivecourse/relay", "tests/test_relay.py", "tests/test_relay_decisions.py")
+FORMATTED += ("olivecourse/discovery", "olivecourse/relay", "tests/test_relay.py",
+              "tests/test_relay_decisions.py")
 
 
 def test_renamed_and_new_files_are_formatted():
