Give a discovery client other addresses to turn to, spread by the settings' grace

With one address, as the platform's configuration gives it, nothing changes: the backoff of before, without a selector.

--- a/olivecourse/net/discovery_client.py
+++ b/olivecourse/net/discovery_client.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from random import Random
 from typing import Any
 
@@ -10,6 +10,7 @@
 
 from olivecourse.config.address import Address
 from olivecourse.discovery.event_stream import ResponseReader
+from olivecourse.discovery.failover import UpstreamSelector, spread_ns
 from olivecourse.net.loop import Loop
 from olivecourse.net.stream import Stream
 from olivecourse.net.wheel import Timer
@@ -126,15 +127,25 @@
         log: Callable[..., None],
         query: Callable[[], str] = lambda: "",
         random: Callable[[], float] | None = None,
+        alternatives: Sequence[Address] = (),
+        grace_ns: int = 0,
     ) -> None:
         """`on_events` takes events newer than `rev` in ascending order, a long answer in several slices.
 
         `query` gives further parameters of a poll, such as `&low=17`; `random` numbers from 0 to 1, by which
         clients of one address spread their retries.
+
+        `alternatives` are turned to when `address` fails, and so on around. Clients that lose an address
+        which had answered come to the others within half of `grace_ns`, the settings' shortest grace.
         """
         self.loop, self.address, self.rev, self._on_events, self._log = loop, address, rev, on_events, log
         self.query = query
         self._random = Random(0).random if random is None else random
+        self._addresses = (address, *alternatives)
+        self._upstreams = self._selector()
+        self._grace_ns = grace_ns
+        self._connection_answered = False  # whether an answer was read on the connection in use
+        self.address_since_ns = loop.clock.now()  # when `address` became the one to ask
         self._backoff_ns = RECONNECT_BACKOFF_NS
         self._stopped = False
         self.answered = False  # whether any answer could be read since the start
@@ -142,22 +153,36 @@
         self._timer: Timer | None = None  # the next try to connect
         self._connect()
 
+    def _selector(self) -> UpstreamSelector | None:
+        """What chooses among the addresses; None where there is no choice."""
+        return UpstreamSelector(self._addresses, self._random) if len(self._addresses) > 1 else None
+
     def _connect(self) -> None:
         if self._stopped:
             return
+        self._connection_answered = False
         try:
             self.stream = PollStream(self)
         except OSError as error:
             self.on_disconnect(None, str(error))
 
-    def move(self, address: Address) -> None:
-        """The address of a new configuration: polled at once, from the last event that the old one sent.
+    def move(self, address: Address, alternatives: Sequence[Address] = ()) -> None:
+        """The addresses of a new configuration: polled at once, from the last event that the old one sent.
+
+        An alternative in use stays so if it is still named.
 
         Guards against a wait for the old one, which may keep its connection open and say nothing more.
         """
-        if address == self.address:
+        self._addresses = (address, *alternatives)
+        if self._upstreams is None or not alternatives:
+            self._upstreams = self._selector()
+        else:
+            self._upstreams.replace(self._addresses)
+        wanted = address if self._upstreams is None else self._upstreams.current
+        if wanted == self.address:
             return
-        self.address, self._backoff_ns = address, RECONNECT_BACKOFF_NS
+        self._turn_to(wanted)
+        self._backoff_ns = RECONNECT_BACKOFF_NS
         old, self.stream = self.stream, None
         if old is not None:
             old.close("the board has moved")
@@ -174,7 +199,9 @@
     def on_response(self, reader: ResponseReader) -> None:
         """An answer was read to its end."""
         self._backoff_ns = RECONNECT_BACKOFF_NS
-        self.answered = True
+        self.answered = self._connection_answered = True
+        if self._upstreams is not None:
+            self._upstreams.succeeded()
         # The answer's own number may run ahead of its list: never past what was really read.
         if reader.empty and reader.revision < self.rev:
             self._log("discovery_revision_decreased", rev=reader.revision, held=self.rev)
@@ -187,9 +214,24 @@
             return
         self.stream = None
         self._log("discovery_disconnected", why=why)
-        wait_ns = self._backoff_ns // 2 + int(self._random() * (self._backoff_ns // 2))
-        self._timer = self.loop.after(wait_ns, self._connect)
-        self._backoff_ns = min(self._backoff_ns * 2, RECONNECT_BACKOFF_MOST_NS)
+        self._timer = self.loop.after(self._retry_delay_ns(), self._connect)
+
+    def _retry_delay_ns(self) -> int:
+        """How long to wait before the next try, which may be at another address."""
+        if self._upstreams is None:
+            wait_ns = self._backoff_ns // 2 + int(self._random() * (self._backoff_ns // 2))
+            self._backoff_ns = min(self._backoff_ns * 2, RECONNECT_BACKOFF_MOST_NS)
+            return wait_ns
+        plan = self._upstreams.failed()
+        self._turn_to(plan.address)
+        if not self._connection_answered:
+            return plan.delay_ns
+        return plan.delay_ns + spread_ns(self._random, self._grace_ns)
+
+    def _turn_to(self, address: Address) -> None:
+        if address != self.address:
+            self.address = address
+            self.address_since_ns = self.loop.clock.now()
 
     def stop(self) -> None:
         self._stopped = True
