Poll a relay's upstreams with failover, and tell relays above the low-water mark

The notice board need not take unknown parameters (the stand-in refuses them), so low and count are sent only with report_upstream: true.

--- a/olivecourse/relay/section.py
+++ b/olivecourse/relay/section.py
@@ -26,6 +26,7 @@
     | field | unit | why this default |
     | --- | --- | --- |
     | `listen`, `upstreams` | HOST:PORT | none; the first upstream is preferred |
+    | `report_upstream` | | off: only relays of ours are sure to take the further parameters of a poll |
     | `lease_s` | seconds | three of the longest waits: one lost poll must not count as a dead gateway |
     | `longest_wait_ms` | ms | what the platform's protocol allows a poll to wait |
     | `shortest_grace_ms` | ms | shortest grace of the settings (drains, purges); sets the pace of polls |
@@ -41,6 +42,7 @@
 
     listen: str
     upstreams: Annotated[list[str], msgspec.Meta(min_length=1, max_length=MOST_UPSTREAMS)]
+    report_upstream: bool = False
     lease_s: Annotated[float, msgspec.Meta(ge=1, le=600)] = 15.0
     longest_wait_ms: Annotated[int, msgspec.Meta(ge=100, le=5_000)] = 5_000
     shortest_grace_ms: Annotated[int, msgspec.Meta(ge=20, le=10_000)] = 250
--- a/olivecourse/relay/service.py
+++ b/olivecourse/relay/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from random import Random
 from typing import Any
 
 from olivecourse.config.address import Address, parse_address
@@ -60,14 +61,29 @@
         self._stop_by_ns = 0
         self._was_ready = False
         self.upstream_answers = 0
-        self.upstream_since_ns = started_ns
-        self._client = DiscoveryClient(self.loop, section.addresses()[0], 0, self._on_events, log)
+        address, *alternatives = section.addresses()
+        self._client = DiscoveryClient(
+            self.loop,
+            address,
+            0,
+            self._on_events,
+            log,
+            query=self.upstream_query,
+            random=Random(f"{config.name} {section.listen}").random,
+            alternatives=alternatives,
+            grace_ns=section.shortest_grace_ms * MS,
+        )
 
     @property
     def upstream(self) -> Address:
         """The address that is polled."""
         return self._client.address
 
+    @property
+    def upstream_since_ns(self) -> int:
+        """When that address was turned to, in Unix nanoseconds."""
+        return self._client.address_since_ns
+
     def _status(self, target: bytes, now: int) -> bytes:
         return encode_status(self, target, now)
 
@@ -88,6 +104,8 @@
 
         Nothing is proven while there is no mark, unless there is nobody below.
         """
+        if not self._section.report_upstream:
+            return ""
         now = self.loop.clock.now()
         count = self.marks.counted(now)
         mark = self.marks.mark(now)
@@ -118,7 +136,8 @@
         needs_restart = [name for name in FIXED_AT_START if getattr(old, name) != getattr(fresh, name)]
         self._section = fresh
         self.server.apply_limits(server_limits(fresh, self._most_descriptors))
-        self._client.move(fresh.addresses()[0])
+        address, *alternatives = fresh.addresses()
+        self._client.move(address, alternatives)
         moved = ["upstreams"] if old.upstreams != fresh.upstreams else []
         self.log("reloaded", moved=moved, needs_restart=needs_restart)
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -9,11 +9,16 @@
 import sys
 import time
 from pathlib import Path
+from random import Random
 
 import pytest
+import stage as gateways
 
+from olivecourse.config.address import parse_address
 from olivecourse.emulator.board import Board
 from olivecourse.emulator.stores import World
+from olivecourse.net.discovery_client import DiscoveryClient
+from olivecourse.net.loop import Loop
 from olivecourse.relay.section import RelayConfig, RelaySection, read_relay
 from olivecourse.relay.service import RelayService
 
@@ -132,7 +137,9 @@
         status, body = self.until(watcher.take)
         return status, json.loads(body) if status == 200 else body.decode()
 
-    def end(self, relay):
+    def kill(self, relay):
+        for watcher in list(relay.server.watchers.values()):
+            watcher.close("killed")
         relay.close()
         self.relays.remove(relay)
 
@@ -570,3 +577,214 @@
 def test_the_example_can_be_read():
     config = read_relay(str(ROOT / "deploy" / "relay.yaml"))
     assert config.section.upstreams == ["127.0.0.1:7000", "127.0.0.1:7001"]
+
+
+class RelayedGateway(gateways.Stage):
+    """A real gateway whose notice board is a relay."""
+
+    def __init__(self, address):
+        self.relay_address = address
+        super().__init__()
+
+    def config(self, raw):
+        return super().config({**raw, "board": self.relay_address})
+
+
+def address_of(relay):
+    return f"127.0.0.1:{relay.server.port}"
+
+
+def test_a_purge_comes_through_two_levels_to_a_real_gateway_and_the_mark_proves_it(stage):
+    limits = {"lease_s": 3.0, "longest_wait_ms": 1_000}
+    top = stage.relay(**limits)
+    middle = stage.relay(address_of(top), report_upstream=True, **limits)
+    stage.known(middle)
+    gateway = RelayedGateway(address_of(middle))
+    try:
+        client = gateway.client()
+
+        def turned(what):
+            return lambda: gateway.turn() or what()
+
+        def fetched(number, key):
+            """What the gateway writes to the stand-in of a store for a read."""
+
+            def line():
+                found = gateway.cache.line()
+                return found and found.startswith("fetch") and f"asset={key}" in found and found
+
+            client.call(number, o=key, i=key)
+            return stage.until(turned(line))
+
+        stage.board.publish(flush={"asset": gateways.OBJECT, "ms": int(time.time() * 1000) - 40})
+        stage.until(turned(lambda: gateway.gateway.discovery.rev == 2))
+        assert "newer=" in fetched(1, gateways.OBJECT) and "newer=" not in fetched(2, "00000000000000aa")
+        now = top.loop.clock.now
+        stage.until(turned(lambda: top.marks.mark(now()) == 2))
+        assert top.marks.counted(now()) == 1  # the gateway, and not the relay between
+        assert middle.marks.counted(now()) == 1
+        gateway.gateway.discovery.stop()  # the gateway is cut off, and after its lease nobody is counted
+        stage.board.publish(flush={"collection": 3, "ms": 5})
+        stage.until(lambda: top.marks.behind(3, now()))
+        assert top.marks.mark(now()) == 2
+        stage.until(lambda: top.marks.mark(now()) == 3)
+        assert top.marks.counted(now()) == 0
+        assert [watcher.lapsed for watcher in middle.marks.behind(3, now())] == [True]
+    finally:
+        gateway.close()
+
+
+class CutOff:
+    """An upstream that gives each who connects the same bytes, whatever is asked, and then ends."""
+
+    def __init__(self, response):
+        self.response, self.sock, self.served = response, socket.create_server(("127.0.0.1", 0)), 0
+        self.sock.setblocking(False)
+        self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
+        self.asked = []
+
+    def look(self):
+        """Serves who has come; True once anybody was served."""
+        try:
+            self.asked.append(self.sock.accept()[0])
+            self.asked[-1].setblocking(False)
+        except BlockingIOError:
+            pass
+        for conn in list(self.asked):
+            try:
+                conn.recv(65_536)
+            except BlockingIOError:
+                continue
+            conn.setblocking(True)
+            conn.sendall(self.response)
+            conn.close()
+            self.asked.remove(conn)
+            self.served += 1
+        return self.served
+
+    def close(self):
+        for sock in (self.sock, *self.asked):
+            sock.close()
+
+
+def response(body, length=None):
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (len(body) if length is None else length)
+    return head + body
+
+
+class Gateways:
+    """Polls of many gateways, by the class that gateways run, on one loop; all prefer the first address."""
+
+    def __init__(self, stage, count, *addresses, rev=1, grace_ms=250):
+        self.stage, self.loop, self.logged = stage, Loop(), []
+        self.taken = [[] for _ in range(count)]
+        self.clients = []
+        for number in range(count):
+            random = Random(number).random
+            address, *alternatives = [parse_address(text) for text in addresses]
+            self.clients.append(
+                DiscoveryClient(
+                    self.loop,
+                    address,
+                    rev,
+                    self.taken[number].extend,
+                    lambda event, **values: self.logged.append(event),
+                    random=random,
+                    alternatives=alternatives,
+                    grace_ns=grace_ms * 1_000_000,
+                )
+            )
+
+    def until(self, what):
+        return self.stage.until(lambda: self.loop.turn(1_000_000) or what())
+
+    def close(self):
+        for client in self.clients:
+            client.stop()
+        self.loop.close()
+
+
+def test_the_polls_of_a_dead_relay_come_to_another_spread_in_time_and_miss_nothing(stage):
+    first, second = stage.relay(), stage.relay()
+    stage.known(first)
+    stage.known(second)
+    fleet = Gateways(stage, 300, address_of(first), address_of(second))
+    fleet.until(lambda: first.server.waiting == 300)
+    stage.kill(first)
+    stage.board.publish(flush={"collection": 3, "ms": 5})
+    fleet.until(lambda: all(client.stream is None for client in fleet.clients))
+    ticks = [client._timer.tick for client in fleet.clients]  # 2 ms each
+    assert max(ticks) - min(ticks) >= 40
+    assert max(ticks.count(tick) for tick in ticks) <= 30
+    fleet.until(lambda: all(client.rev == 2 for client in fleet.clients))
+    assert all(numbers({"notices": taken}) == [2] for taken in fleet.taken)
+    fleet.until(lambda: second.server.waiting == 300)
+    fleet.close()
+
+
+def test_a_gateway_that_moves_in_the_middle_of_an_answer_misses_nothing_and_takes_nothing_twice(stage):
+    """The relays differ by some events: the second has not heard of the last ones yet."""
+    first, second = stage.relay(history_events=64), stage.relay(history_events=500)
+    stage.known(second)
+    now = second.loop.clock.now()
+    made_ms = now // 1_000_000
+    moved = MEMBER | {"host_port": "127.0.0.1:10"}
+    events = [{"rev": 2, "pool": {"revision": 2, "complete": False, "members": [moved]}}]
+    events += [{"rev": n, "flush": {"asset": f"{n:016x}", "ms": made_ms}} for n in range(3, 2_001)]
+    stage.known(first)
+    first.history.append(events, now)
+    second.history.append(events[:-40], now)
+    body = first.history.since(1, now)
+    cut = CutOff(response(body[:80_000], len(body)))
+    fleet = Gateways(stage, 1, cut.address, address_of(second))
+    (client,), (taken,) = fleet.clients, fleet.taken
+    fleet.until(lambda: cut.look() and client.rev > 1)
+    assert 500 < client.rev < 1_960
+    fleet.until(lambda: client.rev == 1_960)
+    second.history.append(events, now)
+    second.server.events_appended()
+    fleet.until(lambda: client.rev == 2_000)
+    assert [e["flush"]["asset"] for e in taken if "flush" in e] == [f"{n:016x}" for n in range(3, 2_001)]
+    assert [e["pool"]["members"] for e in taken if "pool" in e][-1] == [moved]
+    assert numbers({"notices": taken}) == sorted(set(numbers({"notices": taken})))
+    assert "discovery_disconnected" in fleet.logged
+    fleet.close()
+    cut.close()
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b'{"rev":3,"notices":[{"rev":2,"flush":{"collection":1,"ms":5}},{"rev":',
+        b'{"rev":3,"notices":[{"rev":2},nonsense]}',
+        b'{"rev":3,"notices":{}}',
+        b"[" * 5_000,
+        b"\xff\xfe",
+    ],
+)
+def test_of_an_upstream_that_cannot_be_read_nothing_is_taken_and_another_is_asked(stage, body):
+    broken = CutOff(response(body))
+    relay = stage.relay(broken.address, stage.board.address)
+    stage.until(lambda: broken.look() and relay.history.ready)
+    assert relay.history.revision == 1 and relay.history.counters.taken == 1
+    assert "discovery_response_invalid" in stage.names() and "relay_list_known" in stage.names()
+    assert relay.upstream == parse_address(stage.board.address)
+    broken.close()
+
+
+def test_a_relay_turns_to_another_upstream_and_back_by_a_reload(stage):
+    other = stage.relay()
+    stage.known(other)
+    relay = stage.relay(address_of(other), stage.board.address)
+    stage.known(relay)
+    assert relay.upstream == parse_address(address_of(other))
+    stage.kill(other)
+    stage.board.publish(flush={"collection": 3, "ms": 5})
+    stage.known(relay)
+    assert relay.upstream == parse_address(stage.board.address)
+    third = stage.relay()
+    section = RelaySection(listen="127.0.0.1:0", upstreams=[address_of(third)])
+    relay.reload(RelayConfig("relay", section))
+    stage.board.publish(flush={"collection": 4, "ms": 5})
+    stage.known(relay)
+    assert relay.upstream == parse_address(address_of(third))
