--- a/olivecourse/relay/service.py
+++ b/olivecourse/relay/service.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from olivecourse.config.address import Address, parse_address
+from olivecourse.discovery.pacing import PollPacer
 from olivecourse.net.discovery_client import DiscoveryClient
 from olivecourse.net.loop import Loop
 from olivecourse.relay.history import EventHistory
@@ -15,8 +16,10 @@
 from olivecourse.relay.status import encode_status
 from olivecourse.relay.watermarks import LowWaterMark
 
-# Of the shortest grace, what one level of relays may add to the way of an event: two levels take a tenth.
-PACE_SHARE = 20
+# One level of relays gathers news as if a tenth of the shortest grace were all there is: the rest is for
+# further levels, for gateways, which gather for themselves, and for the way between them.
+GRACE_DIVISOR = 10
+ANSWER_DIVISOR = 20  # of the shortest grace, the least time between two answers to all who wait
 STOP_WITHIN_NS = 800 * MS  # of a second, so that a process that is told to stop is gone within it
 STOP_LOOK_NS = 10 * MS
 SPARE_DESCRIPTORS = 64  # beside watchers: logs, the listening socket, the poll upstream, those turned away
@@ -30,10 +33,14 @@
         read_timeout_ns=section.read_timeout_ms * MS,
         idle_timeout_ns=section.idle_timeout_ms * MS,
         most_unread_bytes=section.most_unread_kb * 1024,
-        pace_ns=section.shortest_grace_ms * MS // PACE_SHARE,
+        pace_ns=section.shortest_grace_ms * MS // ANSWER_DIVISOR,
     )
 
 
+def _graces_ns(section: RelaySection) -> tuple[int, ...]:
+    return (section.shortest_grace_ms * MS // GRACE_DIVISOR,)
+
+
 class RelayService:
     """Ties the history, the marks, the server and the poll upstream together."""
 
@@ -62,6 +69,7 @@
         self._was_ready = False
         self.upstream_answers = 0
         address, *alternatives = section.addresses()
+        self._pacer = PollPacer(_graces_ns(section))
         self._client = DiscoveryClient(
             self.loop,
             address,
@@ -70,6 +78,7 @@
             log,
             query=self.upstream_query,
             random=Random(f"{config.name} {section.listen}").random,
+            pacer=self._pacer,
             alternatives=alternatives,
             grace_ns=section.shortest_grace_ms * MS,
         )
@@ -138,6 +147,7 @@
         self.server.apply_limits(server_limits(fresh, self._most_descriptors))
         address, *alternatives = fresh.addresses()
         self._client.move(address, alternatives)
+        self._pacer.apply_settings(_graces_ns(fresh))
         moved = ["upstreams"] if old.upstreams != fresh.upstreams else []
         self.log("reloaded", moved=moved, needs_restart=needs_restart)
 
