--- a/olivecourse/config/gateway_config.py
+++ b/olivecourse/config/gateway_config.py
@@ -53,6 +53,7 @@
     sockets: int = 1024
     memory_mb: int = 192
     board: Address | None = None
+    boards: tuple[Address, ...] = ()  # to turn to where `board` fails; from an operator's file only
     doors: tuple[Address, ...] = ()  # for operators only
     tmpdir: str | None = None  # what two processes of one gateway share; used with a door only
     peer_listen: Address | None = None
@@ -182,12 +183,16 @@
         inventory = str(here / raw["inventory"])
         notice = read_inventory(inventory, config.zones, config.kinds)
         planner = raw.get("planner")
+        boards = raw.get("boards") or []
+        if boards and config.board is None:
+            raise BadConfig("boards: they stand in for `board`, which is missing")
         return replace(
             config,
             signed=front,
             inventory=inventory,
             notices=[notice, *config.notices],
             planner=str(here / planner) if planner else None,
+            boards=tuple(parse_address(str(text)) for text in boards),
             sections=_sections(path, raw),
         )
     except (BadConfig, BadInventory) as error:
--- a/olivecourse/control_plane.py
+++ b/olivecourse/control_plane.py
@@ -59,7 +59,15 @@
 
     def _poll(self, address: tuple[str, int]) -> None:
         self.discovery = DiscoveryClient(
-            self.loop, address, self._rev, self.on_events, self.log, random=self._random, pacer=self._pacer
+            self.loop,
+            address,
+            self._rev,
+            self.on_events,
+            self.log,
+            random=self._random,
+            pacer=self._pacer,
+            alternatives=self._config.boards,
+            grace_ns=self._pacer.grace_ns,
         )
 
     def reload(self, old: Config, fresh: Config) -> None:
@@ -71,7 +79,7 @@
         elif self.discovery is None:
             self._poll(fresh.board)
         else:
-            self.discovery.move(fresh.board)
+            self.discovery.move(fresh.board, fresh.boards)
 
     def stop(self) -> None:
         """Ends the polls; the number of the last event is kept for an address to come."""
--- a/olivecourse/gateway.py
+++ b/olivecourse/gateway.py
@@ -178,7 +178,7 @@
             from olivecourse.fronts.tokens import read_keys
 
             keys = read_keys(fresh.signed.keys)
-        moved = [name for name in ("board", "peers", "peers_all", "inventory")
+        moved = [name for name in ("board", "boards", "peers", "peers_all", "inventory")
                  if getattr(fresh, name) != getattr(old, name)]
         fixed = [name for name in ("name", "doors", "zones", "kinds", "sockets", "memory_mb", "peer_listen",
                                    "planner")
@@ -193,9 +193,9 @@
             fresh.signed, keys=old.signed.keys)
         if signed != old.signed:
             fixed.append("signed")
-        self.config = replace(old, board=fresh.board, peers=fresh.peers, peers_all=fresh.peers_all,
-                              inventory=fresh.inventory, connect_ns=fresh.connect_ns,
-                              idle_ns=fresh.idle_ns, streams=fresh.streams, settings=merged.settings,
+        self.config = replace(old, board=fresh.board, boards=fresh.boards, peers=fresh.peers,
+                              peers_all=fresh.peers_all, inventory=fresh.inventory,
+                              connect_ns=fresh.connect_ns, idle_ns=fresh.idle_ns, streams=fresh.streams, settings=merged.settings,
                               signed=old.signed if "signed" in fixed else fresh.signed)
         self.control.reload(old, self.config)
         if keys is not None and self.tokens is not None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -15,6 +15,7 @@
 import stage as gateways
 
 from olivecourse.config.address import parse_address
+from olivecourse.config.gateway_config import BadConfig, load_operator
 from olivecourse.emulator.board import Board
 from olivecourse.emulator.stores import World
 from olivecourse.net.discovery_client import DiscoveryClient
@@ -788,3 +789,20 @@
     stage.board.publish(flush={"collection": 4, "ms": 5})
     stage.known(relay)
     assert relay.upstream == parse_address(address_of(third))
+
+
+def test_an_operators_file_may_name_further_addresses_for_a_gateway(tmp_path):
+    (tmp_path / "settings.json").write_text(json.dumps(gateways.SETTINGS))
+    (tmp_path / "stores.csv").write_text("name,address,zone,kind\ns-00000001,127.0.0.1:9,edge-1,petit\n")
+    lines = "name: n0\nlisten: 127.0.0.1:0\nsettings: settings.json\ninventory: stores.csv\n"
+    path = tmp_path / "operator.yaml"
+    path.write_text(lines + "board: 127.0.0.1:1\nboards: ['127.0.0.1:2', '127.0.0.1:3']\n")
+    assert load_operator(str(path), {}).boards == (("127.0.0.1", 2), ("127.0.0.1", 3))
+    for wrong in (
+        "board: 127.0.0.1:1\nboards: [here]\n",
+        "boards: ['127.0.0.1:2']\n",
+        "board: 127.0.0.1:1\nboards: 7\n",
+    ):
+        path.write_text(lines + wrong)
+        with pytest.raises(BadConfig):
+            load_operator(str(path), {})
