--- a/olivecourse/gateway.py
+++ b/olivecourse/gateway.py
@@ -195,7 +195,8 @@
             fixed.append("signed")
         self.config = replace(old, board=fresh.board, boards=fresh.boards, peers=fresh.peers,
                               peers_all=fresh.peers_all, inventory=fresh.inventory,
-                              connect_ns=fresh.connect_ns, idle_ns=fresh.idle_ns, streams=fresh.streams, settings=merged.settings,
+                              connect_ns=fresh.connect_ns, idle_ns=fresh.idle_ns, streams=fresh.streams,
+                              settings=merged.settings,
                               signed=old.signed if "signed" in fixed else fresh.signed)
         self.control.reload(old, self.config)
         if keys is not None and self.tokens is not None:
