--- a/olivecourse/relay/server.py
+++ b/olivecourse/relay/server.py
@@ -103,6 +103,7 @@
         self._sock.listen(BACKLOG)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         self.port: int = self._sock.getsockname()[1]
+        self._accepting = True
         loop.watch(self._sock, READ, self._accept)
         loop.after(BUCKET_NS, self._meet_deadlines)
 
@@ -183,12 +184,14 @@
         """Most likely out of descriptors: the listening socket stays readable, and is left alone a while."""
         self.counters.accept_failed += 1
         self._log("relay_accept_failed", why=str(error))
-        if self._sock is not None:
+        if self._sock is not None and self._accepting:
+            self._accepting = False
             self.loop.forget(self._sock)
             self.loop.after(ACCEPT_AGAIN_NS, self._accept_again)
 
     def _accept_again(self) -> None:
         if self._sock is not None:
+            self._accepting = True
             self.loop.watch(self._sock, READ, self._accept)
 
     def _adopt(self, sock: socket.socket, name: str) -> None:
@@ -378,7 +381,8 @@
             return
         self._stopping = True
         if self._sock is not None:
-            self.loop.forget(self._sock)
+            if self._accepting:
+                self.loop.forget(self._sock)
             self._sock.close()
             self._sock = None
         self._end_waits(list(self._waiting.values()))
--- a/olivecourse/relay/service.py
+++ b/olivecourse/relay/service.py
@@ -64,7 +64,6 @@
             log("relay_watchers_limited", most=limits.most_watchers, descriptors=most_descriptors)
         address = parse_address(section.listen)
         self.server = RelayServer(self.loop, address, self.history, self.marks, limits, self._status, log)
-        self._marked_from_ns = started_ns + int(section.lease_s * S)
         self._stop_by_ns = 0
         self._was_ready = False
         self.upstream_answers = 0
@@ -109,19 +108,12 @@
             self.log("relay_list_known", revision=self.history.revision)
 
     def upstream_query(self) -> str:
-        """What a poll upstream tells of all below, for relays of ours; others ignore it.
-
-        Nothing is proven while there is no mark, unless there is nobody below.
-        """
+        """What a poll upstream tells a relay of ours about all below; nothing for the notice board."""
         if not self._section.report_upstream:
             return ""
         now = self.loop.clock.now()
-        count = self.marks.counted(now)
-        mark = self.marks.mark(now)
-        if mark is None:
-            nobody = not count and now >= self._marked_from_ns
-            mark = self.history.revision if nobody else 0
-        return f"&low={mark}&count={count}"
+        low = self.marks.subtree_low(self.history.revision, now)
+        return f"&low={low}&count={self.marks.counted(now)}"
 
     def stop(self) -> None:
         """Answers what waits and ends within a second."""
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -217,6 +217,31 @@
     assert relay.history.counters.answers_shared >= 38
 
 
+def test_a_turn_reads_for_a_bounded_time_and_nobody_starves(stage, monkeypatch):
+    """With no time at all each turn reads from one, and a flood from another delays nobody for ever."""
+    monkeypatch.setattr("olivecourse.relay.server.READ_BUDGET_NS", 0)
+    relay = stage.relay()
+    stage.known(relay)
+    flood = stage.watcher(relay)
+    flood.poll(1, 5000)
+    stage.until(lambda: relay.server.waiting)
+    flood.send(b"GET /")  # and the rest byte by byte
+    watchers = [stage.watcher(relay) for _ in range(20)]
+    for watcher in watchers:
+        watcher.poll(1, 5000)
+
+    def flooded():
+        try:
+            flood.send(b"a")
+        except OSError:  # refused in the end
+            pass
+        return relay.server.waiting >= 20
+
+    stage.until(flooded)
+    stage.board.publish(flush={"collection": 3, "ms": 5})
+    assert all(numbers(stage.answer(watcher)[1]) == [2] for watcher in watchers)
+
+
 def test_pipelined_polls_are_answered_one_at_a_time_and_in_order(stage):
     relay = stage.relay()
     stage.known(relay)
@@ -288,6 +313,25 @@
     assert stage.answer(watcher)[0] == 200
 
 
+def test_without_descriptors_newcomers_wait_and_a_stop_comes_in_between(stage, monkeypatch):
+    """The listening socket is left alone for a while, so that it does not keep the loop busy."""
+    relay, other = stage.relay(), stage.relay()
+    stage.known(relay)
+
+    def exhausted(self):
+        raise OSError(24, "Too many open files")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(socket.socket, "accept", exhausted)
+        watcher = stage.watcher(relay)
+        late = stage.watcher(other)
+        stage.until(lambda: relay.server.counters.accept_failed and other.server.counters.accept_failed)
+        stage.kill(other)
+    watcher.poll(0, 0)
+    assert stage.answer(watcher)[0] == 200 and "relay_accept_failed" in stage.names()
+    stage.until(lambda: late.look() is not None and late.closed)
+
+
 def test_a_slow_reader_is_cut_off_with_a_reason_while_others_are_served(stage):
     """Two answers are unread and together over the bound: who has been stuck for longest goes."""
     relay = stage.relay(most_unread_kb=2_048, history_kb=65_536, history_events=100_000)
