--- a/olivecourse/relay/connection.py
+++ b/olivecourse/relay/connection.py
@@ -9,6 +9,7 @@
 
 import httptools
 
+from olivecourse.net.loop import READ
 from olivecourse.net.stream import Stream
 from olivecourse.relay.deadlines import Deadline
 from olivecourse.relay.requests import PollRequest
@@ -66,7 +67,8 @@
     def read(self) -> None:
         """Reads once; what is left comes with the next turn, as the selector is level-triggered."""
         now = self.server.work_time()
-        if not now:  # this turn has done enough
+        if not now:
+            self.server.defer(self)
             return
         try:
             data = self.sock.recv(MOST_REQUEST_BYTES)
@@ -82,6 +84,11 @@
             if self.state == IDLE:
                 self._next_request(now)
 
+    def read_deferred(self) -> None:
+        """Reads, if there is still something, what an earlier turn had no time for."""
+        if self.open:
+            self._ready(READ)
+
     def _parse(self, data: bytes) -> None:
         self._request_bytes += len(data)
         try:
--- a/olivecourse/relay/server.py
+++ b/olivecourse/relay/server.py
@@ -24,9 +24,9 @@
 from olivecourse.relay.watermarks import LowWaterMark
 
 MS = 1_000_000
-READ_BUDGET_NS = 40 * MS  # of a turn, for reading polls and answering them at once
+READ_BUDGET_NS = 30 * MS  # of a turn, for reading polls and answering them at once; and for deferred ones
 SLICE_NS = 20 * MS  # of a turn, for answering those that waited
-ACCEPTED_A_TURN = 256
+ACCEPTED_A_TURN = 64  # some 5 ms of work
 BACKLOG = 4_096  # connections that the system holds for us: gateways of a dead relay come together
 SEND_BUFFER_BYTES = 262_144  # of the system, a connection: thousands must not take gigabytes of it
 MOST_TURNED_AWAY = 256  # connections that are told that the table is full
@@ -91,6 +91,7 @@
         self._unread = UnreadAnswers(limits.most_unread_bytes)
         self._keys = itertools.count(1)
         self._leaving: dict[int, WatcherConnection] = {}  # turned away, the oldest first
+        self._deferred: dict[int, WatcherConnection] = {}
         self._waiting: dict[int, WatcherConnection] = {}
         self._to_answer: list[WatcherConnection] = []
         self._answer_again = False
@@ -131,7 +132,7 @@
         self._turn_began = 0
 
     def work_time(self) -> int:
-        """The moment now, or 0 if this turn has read for long enough."""
+        """The moment now, or 0 if this turn has read for long enough: then see `defer`."""
         now = self.loop.clock.now()
         if not self._turn_began:
             self._turn_began = now
@@ -139,6 +140,24 @@
             return 0
         return now
 
+    def defer(self, watcher: WatcherConnection) -> None:
+        """This turn has no time left for what `watcher` sent: first come, first served in later ones.
+
+        Left to the selector, which tells the same sockets first in each turn, busy ones could starve others.
+        """
+        if not self._deferred:
+            self.loop.next_turn(self._read_deferred)
+        self._deferred[watcher.key] = watcher
+
+    def _read_deferred(self) -> None:
+        self._turn_began = 0  # a budget of their own, beyond which they defer themselves again
+        deferred, self._deferred = self._deferred, {}
+        for watcher in deferred.values():
+            try:
+                watcher.read_deferred()
+            except Exception as error:  # that connection is closed; the others go on
+                self.loop.faulted("socket", error)
+
     def later(self, call: Callable[[], object]) -> None:
         """Calls in the next turn of the loop."""
         self.loop.next_turn(call)
@@ -167,7 +186,7 @@
 
     def _accept(self, mask: int) -> None:
         for _ in range(ACCEPTED_A_TURN):
-            if self._sock is None or not self.work_time():
+            if self._sock is None:
                 return
             try:
                 sock, address = self._sock.accept()
