--- a/build_native.py
+++ b/build_native.py
@@ -21,6 +21,8 @@
        "net/loop", "net/wheel", "net/ringbuf", "net/stream", "net/stores", "net/discovery_client",
        "net/peers", "fronts/thrift", "fronts/listener",
        "fronts/signed", "ops/door")  # the last two extend compiled ones
+RELAY = ("relay/event_log", "relay/history", "relay/watermarks", "relay/requests", "relay/deadlines",
+         "relay/server", "relay/connection")
 
 
 def digest() -> str:
@@ -42,7 +44,8 @@
 
     Path("mypy.ini").write_text("[mypy]\n[mypy-thrift.*,re2]\nignore_missing_imports = True\n")
     setup(name="olivecourse-native", packages=[], script_args=["-q", "build_ext", "--inplace"],
-          ext_modules=mypycify([f"olivecourse/{name}.py" for name in HOT], opt_level="2", debug_level="0"))
+          ext_modules=mypycify([f"olivecourse/{name}.py" for name in (*HOT, *RELAY)], opt_level="2",
+                               debug_level="0"))
 
 
 def main() -> int:
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,860 @@
+"""Relays over real sockets: what gateways and relays below see, and what hostile ones do not change."""
+
+import json
+import os
+import re
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+from random import Random
+
+import pytest
+import stage as gateways
+
+from olivecourse.config.address import parse_address
+from olivecourse.config.gateway_config import BadConfig, load_operator
+from olivecourse.emulator.board import Board
+from olivecourse.emulator.stores import World
+from olivecourse.net.discovery_client import DiscoveryClient
+from olivecourse.net.loop import Loop
+from olivecourse.relay.section import RelayConfig, RelaySection, read_relay
+from olivecourse.relay.service import RelayService
+
+MEMBER = {
+    "id": "s-00000001",
+    "host_port": "127.0.0.1:9",
+    "locality": "edge-1",
+    "flavor": "petit",
+    "cell": 0,
+    "phase": "Ready",
+    "size": 4,
+    "up_since_ms": 0,
+}
+WHOLE_LIST = {"revision": 1, "complete": True, "members": [MEMBER]}
+DESCRIPTORS = 20_000
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def poll_target(watch, linger, more=""):
+    return f"/board/poll?watch={watch}&linger={linger}{more}"
+
+
+class Watcher:
+    """A stand-in of a gateway's poll."""
+
+    def __init__(self, port, receive_buffer=None):
+        self.sock = socket.socket()
+        if receive_buffer is not None:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        self.sock.connect(("127.0.0.1", port))
+        self.sock.setblocking(False)
+        self.data, self.closed, self.answers = b"", False, []
+
+    def send(self, data):
+        self.sock.sendall(data)
+
+    def get(self, target, method="GET", head=""):
+        self.send(f"{method} {target} HTTP/1.1\r\nHost: relay\r\n{head}\r\n".encode())
+
+    def poll(self, watch, linger, more=""):
+        self.get(poll_target(watch, linger, more))
+
+    def look(self):
+        """Reads what is there; whole responses go to `answers` as (status, body)."""
+        try:
+            while part := self.sock.recv(1 << 20):
+                self.data += part
+            self.closed = True
+        except BlockingIOError:
+            pass
+        except ConnectionError:
+            self.closed = True
+        while b"\r\n\r\n" in self.data:
+            head, _, rest = self.data.partition(b"\r\n\r\n")
+            fields = dict(line.split(b": ", 1) for line in head.split(b"\r\n")[1:])
+            length = int(fields[b"Content-Length"])
+            if len(rest) < length:
+                break
+            self.answers.append((int(head.split()[1]), rest[:length]))
+            self.data = rest[length:]
+        return self.answers
+
+    def take(self):
+        """The next answer, or None."""
+        return self.look().pop(0) if self.look() else None
+
+
+class Stage:
+    """A board, and relays that poll it or each other, all in this process."""
+
+    def __init__(self):
+        self.world = World([], lambda *asked: None)
+        self.board = Board(self.world)
+        self.board.publish(pool=WHOLE_LIST)
+        self.relays, self.watchers, self.logged = [], [], []
+
+    def relay(self, *upstreams, **more):
+        section = RelaySection(
+            listen=more.pop("listen", "127.0.0.1:0"),
+            upstreams=list(upstreams) or [self.board.address],
+            **more,
+        )
+        config = RelayConfig(f"relay-{len(self.relays)}", section)
+        self.relays.append(RelayService(config, self.log, DESCRIPTORS))
+        return self.relays[-1]
+
+    def log(self, event, **values):
+        self.logged.append((event, values))
+
+    def names(self):
+        return [event for event, _ in self.logged]
+
+    def watcher(self, relay, **more):
+        self.watchers.append(Watcher(relay.server.port, **more))
+        return self.watchers[-1]
+
+    def turn(self):
+        self.world.turn(time.monotonic() + 0.002)
+        for relay in self.relays:
+            relay.loop.turn(1_000_000)
+            relay.server.turn_ended()
+
+    def until(self, what, seconds=20):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self.turn()
+            if found := what():
+                return found
+        raise AssertionError(f"did not come about; logged: {self.logged[-20:]}")
+
+    def known(self, relay):
+        self.until(lambda: relay.history.revision >= self.board.rev)
+
+    def answer(self, watcher):
+        """The next answer's status and its body, parsed if it is one of events."""
+        status, body = self.until(watcher.take)
+        return status, json.loads(body) if status == 200 else body.decode()
+
+    def kill(self, relay):
+        for watcher in list(relay.server.watchers.values()):
+            watcher.close("killed")
+        relay.close()
+        self.relays.remove(relay)
+
+    def close(self):
+        for watcher in self.watchers:
+            watcher.sock.close()
+        for relay in self.relays:
+            relay.close()
+        self.board.close()
+        self.world.close()
+
+
+@pytest.fixture
+def stage():
+    made = Stage()
+    yield made
+    made.close()
+
+
+def numbers(body):
+    return [event["rev"] for event in body["notices"]]
+
+
+def test_a_poll_is_answered_when_events_come_and_else_with_none_at_its_end(stage):
+    relay = stage.relay()
+    stage.known(relay)
+    watcher = stage.watcher(relay)
+    watcher.poll(0, 1500)
+    status, body = stage.answer(watcher)
+    assert (status, body["rev"], numbers(body)) == (200, 1, [1])
+    assert body["notices"][0]["pool"] == WHOLE_LIST
+    began = time.monotonic()
+    watcher.poll(1, 100)
+    assert stage.answer(watcher) == (200, {"rev": 1, "notices": []})
+    assert time.monotonic() - began >= 0.1
+    watcher.poll(1, 5000)
+    stage.until(lambda: relay.server.waiting)
+    stage.board.publish(flush={"collection": 3, "ms": 5})
+    assert stage.answer(watcher) == (
+        200,
+        {"rev": 2, "notices": [{"rev": 2, "flush": {"collection": 3, "ms": 5}}]},
+    )
+
+
+def test_numbers_above_ours_and_long_lingers_wait_and_unknown_parameters_are_ignored(stage):
+    relay = stage.relay(longest_wait_ms=100)
+    stage.known(relay)
+    watcher = stage.watcher(relay)
+    watcher.poll(9, 9_000_000, "&more=1&lows")
+    assert stage.answer(watcher) == (200, {"rev": 1, "notices": []})
+    watcher.get("/board/poll?linger=10&x=%20&watch=0")  # the longer way of parsing, on the same connection
+    assert numbers(stage.answer(watcher)[1]) == [1]
+
+
+def test_who_waits_at_one_number_shares_one_encoding_and_is_answered_in_slices(stage, monkeypatch):
+    """With slices of no length every watcher has a turn of its own, and events come between them."""
+    monkeypatch.setattr("olivecourse.relay.server.SLICE_NS", 0)
+    relay = stage.relay()
+    stage.known(relay)
+    watchers = [stage.watcher(relay) for _ in range(40)]
+    for watcher in watchers:
+        watcher.poll(1, 5000)
+    stage.until(lambda: relay.server.waiting == 40)
+    stage.board.publish(flush={"collection": 3, "ms": 5})
+    stage.until(lambda: 0 < relay.server.waiting < 40)
+    stage.board.publish(flush={"collection": 4, "ms": 6})
+    for watcher in watchers:
+        status, body = stage.answer(watcher)
+        assert status == 200 and numbers(body) in ([2], [2, 3])
+        if body["rev"] == 2:
+            watcher.poll(2, 5000)
+            assert numbers(stage.answer(watcher)[1]) == [3]
+    assert relay.history.counters.answers_encoded <= 3
+    assert relay.history.counters.answers_shared >= 38
+
+
+def test_a_turn_reads_for_a_bounded_time_and_nobody_starves(stage, monkeypatch):
+    """With no time at all each turn reads from one, and a flood from another delays nobody for ever."""
+    monkeypatch.setattr("olivecourse.relay.server.READ_BUDGET_NS", 0)
+    relay = stage.relay()
+    stage.known(relay)
+    flood = stage.watcher(relay)
+    flood.poll(1, 5000)
+    stage.until(lambda: relay.server.waiting)
+    flood.send(b"GET /")  # and the rest byte by byte
+    watchers = [stage.watcher(relay) for _ in range(20)]
+    for watcher in watchers:
+        watcher.poll(1, 5000)
+
+    def flooded():
+        try:
+            flood.send(b"a")
+        except OSError:  # refused in the end
+            pass
+        return relay.server.waiting >= 20
+
+    stage.until(flooded)
+    stage.board.publish(flush={"collection": 3, "ms": 5})
+    assert all(numbers(stage.answer(watcher)[1]) == [2] for watcher in watchers)
+
+
+def test_pipelined_polls_are_answered_one_at_a_time_and_in_order(stage):
+    relay = stage.relay()
+    stage.known(relay)
+    watcher = stage.watcher(relay)
+    for watch, linger in ((0, 0), (1, 60), (0, 5000), (1, 0)):
+        watcher.poll(watch, linger)
+    answers = [stage.answer(watcher)[1] for _ in range(4)]
+    assert [numbers(body) for body in answers] == [[1], [], [1], []]
+
+
+HOSTILE = {
+    "no HTTP": (b"\x00\xff\x00\r\n\r\n", 400),
+    "no target": (b"GET\r\n\r\n", 400),
+    "upgrade": (
+        b"GET /board/poll?watch=0&linger=0 HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n",
+        400,
+    ),
+    "long head": (b"GET / HTTP/1.1\r\nX: " + b"a" * 20_000, 431),
+    "long target": (b"GET /" + b"a" * 20_000, 431),
+    "long body": (b"GET /nope HTTP/1.1\r\nContent-Length: 99999\r\n\r\n" + b"a" * 20_000, 431),
+    "many at once": (b"GET /board/poll?watch=1&linger=5000 HTTP/1.1\r\n\r\n" * 160, 400),
+    "method": (b"POST /board/poll?watch=0&linger=0 HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 405),
+    "path": (b"GET /board/other?watch=0&linger=0 HTTP/1.1\r\n\r\n", 404),
+    "no numbers": (b"GET /board/poll HTTP/1.1\r\n\r\n", 400),
+    "no linger": (b"GET /board/poll?watch=0 HTTP/1.1\r\n\r\n", 400),
+    "broken watch": (b"GET /board/poll?watch=-1&linger=0 HTTP/1.1\r\n\r\n", 400),
+    "huge watch": (b"GET /board/poll?watch=9999999999999999999&linger=0 HTTP/1.1\r\n\r\n", 400),
+    "longer watch": (b"GET /board/poll?watch=" + b"9" * 5_000 + b"&linger=0 HTTP/1.1\r\n\r\n", 400),
+    "broken linger": (b"GET /board/poll?watch=0&linger=1.5 HTTP/1.1\r\n\r\n", 400),
+    "broken low": (b"GET /board/poll?watch=0&linger=0&low=x&count=2 HTTP/1.1\r\n\r\n", 400),
+    "broken status": (b"GET /relay/status?behind=x HTTP/1.1\r\n\r\n", 400),
+}
+
+
+@pytest.mark.parametrize("name", HOSTILE)
+def test_hostile_input_gets_an_error_and_a_close_and_does_not_touch_others(stage, name):
+    data, expected = HOSTILE[name]
+    relay = stage.relay()
+    stage.known(relay)
+    other = stage.watcher(relay)
+    other.poll(1, 5000)
+    hostile = stage.watcher(relay)
+    for start in range(0, len(data), 5_000):  # in parts, so that none of it is still unsent at the answer
+        hostile.send(data[start : start + 5_000])
+        stage.turn()
+    assert stage.answer(hostile)[0] == expected
+    stage.until(lambda: hostile.look() is not None and hostile.closed)
+    assert relay.server.counters.bad_requests == 1 and "relay_bad_request" in stage.names()
+    hostile.sock.close()
+    stage.until(lambda: len(relay.server.watchers) == 1)
+    stage.board.publish(flush={"collection": 3, "ms": 5})
+    assert numbers(stage.answer(other)[1]) == [2]
+
+
+def test_a_connection_that_asks_nothing_is_closed_and_a_full_table_refuses(stage):
+    relay = stage.relay(most_watchers=1, idle_timeout_ms=200)
+    stage.known(relay)
+    idle = stage.watcher(relay)
+    idle.send(b"GET /board/poll?watch=0&lin")
+    stage.until(lambda: relay.server.watchers)
+    refused = stage.watcher(relay)
+    assert stage.answer(refused) == (503, "this relay is full\n")
+    stage.until(lambda: idle.look() is not None and idle.closed)
+    assert not idle.answers
+    counters = relay.server.counters
+    assert (counters.refused_full, counters.idle_closed) == (1, 1)
+    watcher = stage.watcher(relay)
+    watcher.poll(0, 0)
+    assert stage.answer(watcher)[0] == 200
+
+
+def test_without_descriptors_newcomers_wait_and_a_stop_comes_in_between(stage, monkeypatch):
+    """The listening socket is left alone for a while, so that it does not keep the loop busy."""
+    relay, other = stage.relay(), stage.relay()
+    stage.known(relay)
+
+    def exhausted(self):
+        raise OSError(24, "Too many open files")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(socket.socket, "accept", exhausted)
+        watcher = stage.watcher(relay)
+        late = stage.watcher(other)
+        stage.until(lambda: relay.server.counters.accept_failed and other.server.counters.accept_failed)
+        stage.kill(other)
+    watcher.poll(0, 0)
+    assert stage.answer(watcher)[0] == 200 and "relay_accept_failed" in stage.names()
+    stage.until(lambda: late.look() is not None and late.closed)
+
+
+def test_a_slow_reader_is_cut_off_with_a_reason_while_others_are_served(stage):
+    """Two answers are unread and together over the bound: who has been stuck for longest goes."""
+    relay = stage.relay(most_unread_kb=2_048, history_kb=65_536, history_events=100_000)
+    stage.known(relay)
+    slow = stage.watcher(relay, receive_buffer=4_096)
+    other = stage.watcher(relay)
+    purges = [
+        {"rev": n, "flush": {"asset": f"{n:016x}", "ms": 5}, "more": "x" * 100} for n in range(2, 12_000)
+    ]
+    relay.history.append(purges, relay.loop.clock.now())
+    slow.poll(0, 0)
+    stage.until(lambda: relay.server.unread_bytes)
+    relay.history.append([{"rev": 12_000, "flush": {"collection": 3, "ms": 6}}], relay.loop.clock.now())
+    other.poll(0, 0)
+    assert len(stage.answer(other)[1]["notices"]) == 12_000
+    assert relay.server.unread_bytes == 0 and relay.server.counters.cut_off == 1
+    assert [v["why"] for e, v in stage.logged if e == "relay_watcher_cut_off"] == [
+        "unread answers over the limit"
+    ]
+    stage.until(lambda: slow.look() is not None and slow.closed)
+    assert not slow.answers
+
+
+def test_a_reader_that_takes_nothing_is_cut_off_in_time(stage):
+    relay = stage.relay(read_timeout_ms=100, history_kb=65_536, history_events=100_000)
+    stage.known(relay)
+    slow, slower = stage.watcher(relay, receive_buffer=4_096), stage.watcher(relay, receive_buffer=4_096)
+    purges = [
+        {"rev": n, "flush": {"asset": f"{n:016x}", "ms": 5}, "more": "x" * 100} for n in range(2, 12_000)
+    ]
+    relay.history.append(purges, relay.loop.clock.now())
+    body = relay.history.since(0, relay.loop.clock.now())
+    slow.poll(0, 0)
+    slower.poll(0, 0)
+    stage.until(lambda: relay.server.unread_bytes == len(body))  # what both have not read counts once
+    stage.until(lambda: slow.take())  # it reads
+    stage.until(lambda: relay.server.counters.cut_off)
+    assert relay.server.unread_bytes == 0 and relay.server.counters.cut_off == 1 and not slow.closed
+
+
+def test_before_a_whole_list_is_known_polls_are_held_and_then_refused(stage):
+    stage.board.refuse()
+    relay = stage.relay()
+    watcher = stage.watcher(relay)
+    began = time.monotonic()
+    watcher.poll(0, 150)
+    assert stage.answer(watcher) == (503, "no whole list is known yet\n")
+    assert time.monotonic() - began >= 0.15
+    held = stage.watcher(relay)
+    held.poll(0, 5000)
+    stage.until(lambda: relay.server.waiting)
+    stage.board.resume()
+    assert numbers(stage.answer(held)[1]) == [1]
+    stage.board.refuse()  # what is known is served on
+    stage.until(lambda: stage.names().count("discovery_disconnected") > 3)
+    held.poll(0, 0)
+    assert numbers(stage.answer(held)[1]) == [1]
+    held.poll(1, 50)
+    assert stage.answer(held) == (200, {"rev": 1, "notices": []})
+
+
+@pytest.mark.parametrize("later", [0, 1, 2])
+def test_an_upstream_that_comes_back_with_older_numbers_or_none_changes_nothing(stage, later):
+    for number in range(2, 6):
+        stage.board.publish(flush={"collection": number, "ms": 5})
+    relay = stage.relay()
+    stage.known(relay)
+    watcher = stage.watcher(relay)
+    watcher.poll(5, 5000)
+    stage.until(lambda: relay.server.waiting)
+    stage.board.refuse()
+    stage.board.rev = later
+    del stage.board._events[later:]
+    stage.board.resume()
+    stage.until(lambda: "discovery_revision_decreased" in stage.names())
+    assert relay.server.waiting == 1 and relay.history.revision == 5
+    late = stage.watcher(relay)
+    late.poll(3, 5000)
+    assert numbers(stage.answer(late)[1]) == [4, 5]
+    stage.board.rev = 8  # numbers may jump
+    stage.board.publish(flush={"collection": 9, "ms": 6})
+    assert numbers(stage.answer(watcher)[1]) == [9]
+
+
+def test_an_hours_backlog_gives_an_answer_of_what_is_live(stage):
+    """60,000 purges of an hour, the last 500 of them unsettled, and a store that went and came."""
+    relay = stage.relay(history_events=100, purge_retention_s=10)
+    stage.known(relay)
+    now_ms = relay.loop.clock.now() // 1_000_000
+    went = {"revision": 2, "complete": False, "members": [MEMBER | {"phase": "Gone"}]}
+    came = {"revision": 3, "complete": False, "members": [MEMBER | {"host_port": "127.0.0.1:10"}]}
+    events = [{"rev": 2, "pool": went}, {"rev": 3, "pool": came}]
+    for number in range(4, 60_004):
+        made_ms = now_ms if number >= 59_504 else now_ms - 60_000
+        events.append({"rev": number, "flush": {"asset": f"{number:016x}", "ms": made_ms}})
+    for start in range(0, len(events), 5_000):
+        relay.history.append(events[start : start + 5_000], relay.loop.clock.now())
+    watcher = stage.watcher(relay)
+    watcher.poll(1, 0)
+    status, body = stage.answer(watcher)
+    assert status == 200 and body["rev"] == 60_003 and len(body["notices"]) <= 501 + 1
+    purged = [event["flush"]["asset"] for event in body["notices"] if "flush" in event]
+    assert purged == [f"{number:016x}" for number in range(59_504, 60_004)]
+    (listed,) = [event["pool"] for event in body["notices"] if "pool" in event]
+    assert listed["complete"] and [m["host_port"] for m in listed["members"]] == ["127.0.0.1:10"]
+
+
+def test_a_watcher_too_old_for_a_full_history_is_refused_and_not_left_to_wait(stage):
+    relay = stage.relay(history_events=1, most_purges=1)
+    stage.known(relay)
+    now_ms = relay.loop.clock.now() // 1_000_000
+    events = [{"rev": n, "flush": {"collection": n, "ms": now_ms}} for n in range(2, 9)]
+    relay.history.append(events, relay.loop.clock.now())
+    watcher = stage.watcher(relay)
+    watcher.poll(1, 5000)
+    assert stage.answer(watcher)[0] == 503 and relay.server.counters.too_old == 1
+    other = stage.watcher(relay)
+    other.poll(7, 5000)
+    assert numbers(stage.answer(other)[1]) == [8]
+
+
+def test_status_tells_the_mark_and_who_is_behind(stage):
+    relay = stage.relay(lease_s=3.0, longest_wait_ms=1_000)
+    stage.known(relay)
+    stage.board.publish(flush={"collection": 3, "ms": 5})
+    stage.known(relay)
+    ahead, behind, asking = (stage.watcher(relay) for _ in range(3))
+    name = "{}:{}".format(*behind.sock.getsockname())
+    behind.poll(1, 0)
+    stage.answer(behind)
+
+    def told():
+        ahead.poll(2, 0)
+        stage.answer(ahead)
+        asking.get("/relay/status?behind=2")
+        return stage.answer(asking)[1]
+
+    first = told()
+    assert first["mark"] is None and not first["passed"]  # an earlier life's watchers may not be back yet
+    assert first["behind_total"] == 1 and first["behind"][0]["watcher"] == name
+    assert first["behind"][0]["number"] == 1 and first["watchers"]["counted"] == 2
+
+    def passed():
+        return (found := told())["passed"] and found
+
+    last = stage.until(passed)  # its lease is over
+    assert last["mark"] == 2 and last["watchers"]["counted"] == 1
+    assert last["behind"][0] == {"watcher": name, "number": 1, "lapsed": True} | {
+        "seconds": last["behind"][0]["seconds"]
+    }
+
+
+class Processes:
+    """Relays as an operator starts them, before a board in this process; ended by their own ids."""
+
+    def __init__(self, folder):
+        self.folder, self.started = folder, []
+        self.world = World([], lambda *asked: None)
+        self.board = Board(self.world)
+        self.board.publish(pool=WHOLE_LIST)
+
+    def write(self, number, *upstreams, **more):
+        section = {"listen": "127.0.0.1:0", "upstreams": list(upstreams), **more}
+        path = self.folder / f"{number}.yaml"
+        path.write_text(json.dumps({"name": f"relay-{number}", "relay": section}))  # JSON is YAML too
+        return path
+
+    def start(self, *upstreams, **more):
+        number = len(self.started)
+        path = self.write(number, *(upstreams or [self.board.address]), **more)
+        words = ["serve", "--role", "relay", "--operator", str(path)]
+        with self.log(number).open("w") as log:
+            self.started.append(
+                subprocess.Popen([sys.executable, "-m", "olivecourse", *words], cwd=ROOT, stderr=log)
+            )
+        return number
+
+    def log(self, number):
+        return self.folder / f"{number}.log"
+
+    def until(self, what, seconds=20):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self.world.run(0.005)
+            if found := what():
+                return found
+        raise AssertionError([self.log(n).read_text() for n in range(len(self.started))])
+
+    def logged(self, number, event):
+        return self.until(lambda: re.search(rf'.*"event": "{event}".*', self.log(number).read_text()))[0]
+
+    def port(self, number):
+        self.logged(number, "relay_list_known")
+        return int(json.loads(self.logged(number, "ready"))["listen"].rpartition(":")[2])
+
+    def ask(self, *words):
+        asking = subprocess.Popen(
+            [sys.executable, "-m", "olivecourse", *words], cwd=ROOT, stdout=subprocess.PIPE, text=True
+        )
+        self.until(lambda: asking.poll() is not None)
+        return asking.returncode, asking.communicate()[0]
+
+    def close(self):
+        for process in self.started:
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+        self.board.close()
+        self.world.close()
+
+
+@pytest.fixture
+def processes(tmp_path):
+    made = Processes(tmp_path)
+    yield made
+    made.close()
+
+
+def test_a_relays_process_reloads_and_ends_within_a_second_with_its_polls_answered(processes):
+    relay = processes.start()
+    watchers = [Watcher(processes.port(relay)) for _ in range(20)]
+    for watcher in watchers:
+        watcher.poll(1, 5000)
+    processes.write(relay, "nobody", longest_wait_ms=100)
+    processes.started[relay].send_signal(signal.SIGHUP)
+    assert "nobody" in json.loads(processes.logged(relay, "reload_refused"))["why"]
+    processes.write(relay, processes.board.address, longest_wait_ms=100, lease_s=20)
+    processes.started[relay].send_signal(signal.SIGHUP)
+    assert json.loads(processes.logged(relay, "reloaded"))["needs_restart"] == ["lease_s"]
+    quick = Watcher(processes.port(relay))
+    quick.poll(1, 5000)
+    assert processes.until(quick.take) == (200, b'{"rev":1,"notices":[]}')
+    began = time.monotonic()
+    processes.started[relay].send_signal(signal.SIGTERM)
+    assert [processes.until(watcher.take) for watcher in watchers] == [(200, b'{"rev":1,"notices":[]}')] * 20
+    processes.until(lambda: processes.started[relay].poll() is not None)
+    assert processes.started[relay].returncode == 0 and time.monotonic() - began < 5
+    for watcher in [*watchers, quick]:
+        watcher.sock.close()
+
+
+def test_operators_ask_who_is_behind(processes):
+    relay = processes.start(lease_s=3, longest_wait_ms=1000)
+    port = processes.port(relay)
+    watcher = Watcher(port)
+    name = "{}:{}".format(*watcher.sock.getsockname())
+
+    def polled():
+        watcher.poll(1, 0)
+        return processes.until(watcher.take)
+
+    polled()
+    code, text = processes.ask("relay", "status", f"127.0.0.1:{port}", "--number", "2")
+    assert code == 1 and f"{name} at 1" in text and "not proven" in text
+    code, text = processes.until(
+        lambda: (
+            polled() and (asked := processes.ask("relay", "status", f"127.0.0.1:{port}"))[0] == 0 and asked
+        )
+    )
+    assert "low-water mark 1\n" in text and "event 1: in force everywhere below" in text
+    code, text = processes.ask("relay", "status", f"127.0.0.1:{port}", "--json")
+    assert json.loads(text)["mark"] == 1
+    watcher.sock.close()
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "name: x\n",
+        "relay: {listen: '127.0.0.1:0', upstreams: []}\n",
+        "relay: {listen: here, upstreams: ['127.0.0.1:1']}\n",
+        "relay: {listen: '127.0.0.1:0', upstreams: ['127.0.0.1:1'], lease_s: 2}\n",
+        "relay: {listen: '127.0.0.1:0', upstreams: ['127.0.0.1:1'], leases: 2}\n",
+        "relay: {listen: '127.0.0.1:TAKEN', upstreams: ['127.0.0.1:1']}\n",
+        "relay: [\n",
+    ],
+)
+def test_a_bad_configuration_is_one_line_and_exit_2(tmp_path, text):
+    path = tmp_path / "relay.yaml"
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        path.write_text(text.replace("TAKEN", str(taken.getsockname()[1])))
+        words = [sys.executable, "-m", "olivecourse", "serve", "--role", "relay", "--operator", str(path)]
+        done = subprocess.run(words, cwd=ROOT, capture_output=True, text=True, timeout=30, env=os.environ)
+    assert done.returncode == 2 and done.stderr.startswith("olivecourse: ")
+    assert done.stderr.count("\n") == 1
+
+
+def test_the_example_can_be_read():
+    config = read_relay(str(ROOT / "deploy" / "relay.yaml"))
+    assert config.section.upstreams == ["127.0.0.1:7000", "127.0.0.1:7001"]
+
+
+class RelayedGateway(gateways.Stage):
+    """A real gateway whose notice board is a relay."""
+
+    def __init__(self, address):
+        self.relay_address = address
+        super().__init__()
+
+    def config(self, raw):
+        return super().config({**raw, "board": self.relay_address})
+
+
+def address_of(relay):
+    return f"127.0.0.1:{relay.server.port}"
+
+
+def test_a_purge_comes_through_two_levels_to_a_real_gateway_and_the_mark_proves_it(stage):
+    limits = {"lease_s": 3.0, "longest_wait_ms": 1_000}
+    top = stage.relay(**limits)
+    middle = stage.relay(address_of(top), report_upstream=True, **limits)
+    stage.known(middle)
+    gateway = RelayedGateway(address_of(middle))
+    try:
+        client = gateway.client()
+
+        def turned(what):
+            return lambda: gateway.turn() or what()
+
+        def fetched(number, key):
+            """What the gateway writes to the stand-in of a store for a read."""
+
+            def line():
+                found = gateway.cache.line()
+                return found and found.startswith("fetch") and f"asset={key}" in found and found
+
+            client.call(number, o=key, i=key)
+            return stage.until(turned(line))
+
+        stage.board.publish(flush={"asset": gateways.OBJECT, "ms": int(time.time() * 1000) - 40})
+        stage.until(turned(lambda: gateway.gateway.discovery.rev == 2))
+        assert "newer=" in fetched(1, gateways.OBJECT) and "newer=" not in fetched(2, "00000000000000aa")
+        now = top.loop.clock.now
+        stage.until(turned(lambda: top.marks.mark(now()) == 2))
+        assert top.marks.counted(now()) == 1  # the gateway, and not the relay between
+        assert middle.marks.counted(now()) == 1
+        gateway.gateway.discovery.stop()  # the gateway is cut off, and after its lease nobody is counted
+        stage.board.publish(flush={"collection": 3, "ms": 5})
+        stage.until(lambda: top.marks.behind(3, now()))
+        assert top.marks.mark(now()) == 2
+        stage.until(lambda: top.marks.mark(now()) == 3)
+        assert top.marks.counted(now()) == 0
+        assert [watcher.lapsed for watcher in middle.marks.behind(3, now())] == [True]
+    finally:
+        gateway.close()
+
+
+class CutOff:
+    """An upstream that gives each who connects the same bytes, whatever is asked, and then ends."""
+
+    def __init__(self, response):
+        self.response, self.sock, self.served = response, socket.create_server(("127.0.0.1", 0)), 0
+        self.sock.setblocking(False)
+        self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
+        self.asked = []
+
+    def look(self):
+        """Serves who has come; True once anybody was served."""
+        try:
+            self.asked.append(self.sock.accept()[0])
+            self.asked[-1].setblocking(False)
+        except BlockingIOError:
+            pass
+        for conn in list(self.asked):
+            try:
+                conn.recv(65_536)
+            except BlockingIOError:
+                continue
+            conn.setblocking(True)
+            conn.sendall(self.response)
+            conn.close()
+            self.asked.remove(conn)
+            self.served += 1
+        return self.served
+
+    def close(self):
+        for sock in (self.sock, *self.asked):
+            sock.close()
+
+
+def response(body, length=None):
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (len(body) if length is None else length)
+    return head + body
+
+
+class Gateways:
+    """Polls of many gateways, by the class that gateways run, on one loop; all prefer the first address."""
+
+    def __init__(self, stage, count, *addresses, rev=1, grace_ms=250):
+        self.stage, self.loop, self.logged = stage, Loop(), []
+        self.taken = [[] for _ in range(count)]
+        self.clients = []
+        for number in range(count):
+            random = Random(number).random
+            address, *alternatives = [parse_address(text) for text in addresses]
+            self.clients.append(
+                DiscoveryClient(
+                    self.loop,
+                    address,
+                    rev,
+                    self.taken[number].extend,
+                    lambda event, **values: self.logged.append(event),
+                    random=random,
+                    alternatives=alternatives,
+                    grace_ns=grace_ms * 1_000_000,
+                )
+            )
+
+    def until(self, what):
+        return self.stage.until(lambda: self.loop.turn(1_000_000) or what())
+
+    def close(self):
+        for client in self.clients:
+            client.stop()
+        self.loop.close()
+
+
+def test_the_polls_of_a_dead_relay_come_to_another_spread_in_time_and_miss_nothing(stage, monkeypatch):
+    first, second = stage.relay(), stage.relay()
+    stage.known(first)
+    stage.known(second)
+    fleet = Gateways(stage, 300, address_of(first), address_of(second))
+    fleet.until(lambda: first.server.waiting == 300)
+    stage.kill(first)
+    stage.board.publish(flush={"collection": 3, "ms": 5})
+    delays_ms, after = [], fleet.loop.after
+
+    def recorded(delay_ns, call):
+        if getattr(call, "__name__", "") == "_connect":
+            delays_ms.append(delay_ns // 1_000_000)
+        return after(delay_ns, call)
+
+    monkeypatch.setattr(fleet.loop, "after", recorded)
+    fleet.until(lambda: all(client.rev == 2 for client in fleet.clients))
+    first_tries = sorted(delays_ms[:300])
+    assert first_tries[0] >= 20 and first_tries[-1] <= 125 + 40  # half of the grace, and the backoff
+    assert first_tries[-1] - first_tries[0] >= 80
+    assert max(first_tries.count(delay_ms) for delay_ms in first_tries) <= 10
+    assert all(numbers({"notices": taken}) == [2] for taken in fleet.taken)
+    fleet.until(lambda: second.server.waiting == 300)
+    fleet.close()
+
+
+def test_a_gateway_that_moves_in_the_middle_of_an_answer_misses_nothing_and_takes_nothing_twice(stage):
+    """The relays differ by some events: the second has not heard of the last ones yet."""
+    first, second = stage.relay(history_events=64), stage.relay(history_events=500)
+    stage.known(second)
+    now = second.loop.clock.now()
+    made_ms = now // 1_000_000
+    moved = MEMBER | {"host_port": "127.0.0.1:10"}
+    events = [{"rev": 2, "pool": {"revision": 2, "complete": False, "members": [moved]}}]
+    events += [{"rev": n, "flush": {"asset": f"{n:016x}", "ms": made_ms}} for n in range(3, 2_001)]
+    stage.known(first)
+    first.history.append(events, now)
+    second.history.append(events[:-40], now)
+    body = first.history.since(1, now)
+    cut = CutOff(response(body[:80_000], len(body)))
+    fleet = Gateways(stage, 1, cut.address, address_of(second))
+    (client,), (taken,) = fleet.clients, fleet.taken
+    fleet.until(lambda: cut.look() and client.rev > 1)
+    assert 500 < client.rev < 1_960
+    fleet.until(lambda: client.rev == 1_960)
+    second.history.append(events, now)
+    second.server.events_appended()
+    fleet.until(lambda: client.rev == 2_000)
+    assert [e["flush"]["asset"] for e in taken if "flush" in e] == [f"{n:016x}" for n in range(3, 2_001)]
+    assert [e["pool"]["members"] for e in taken if "pool" in e][-1] == [moved]
+    assert numbers({"notices": taken}) == sorted(set(numbers({"notices": taken})))
+    assert "discovery_disconnected" in fleet.logged
+    fleet.close()
+    cut.close()
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b'{"rev":3,"notices":[{"rev":2,"flush":{"collection":1,"ms":5}},{"rev":',
+        b'{"rev":3,"notices":[{"rev":2},nonsense]}',
+        b'{"rev":3,"notices":{}}',
+        b"[" * 5_000,
+        b"\xff\xfe",
+    ],
+)
+def test_of_an_upstream_that_cannot_be_read_nothing_is_taken_and_another_is_asked(stage, body):
+    broken = CutOff(response(body))
+    relay = stage.relay(broken.address, stage.board.address)
+    stage.until(lambda: broken.look() and relay.history.ready)
+    assert relay.history.revision == 1 and relay.history.counters.taken == 1
+    assert "discovery_response_invalid" in stage.names() and "relay_list_known" in stage.names()
+    assert relay.upstream == parse_address(stage.board.address)
+    broken.close()
+
+
+def test_a_relay_turns_to_another_upstream_and_back_by_a_reload(stage):
+    other = stage.relay()
+    stage.known(other)
+    relay = stage.relay(address_of(other), stage.board.address)
+    stage.known(relay)
+    assert relay.upstream == parse_address(address_of(other))
+    stage.kill(other)
+    stage.board.publish(flush={"collection": 3, "ms": 5})
+    stage.known(relay)
+    assert relay.upstream == parse_address(stage.board.address)
+    third = stage.relay()
+    section = RelaySection(listen="127.0.0.1:0", upstreams=[address_of(third)])
+    relay.reload(RelayConfig("relay", section))
+    stage.board.publish(flush={"collection": 4, "ms": 5})
+    stage.known(relay)
+    assert relay.upstream == parse_address(address_of(third))
+
+
+def test_an_operators_file_may_name_further_addresses_for_a_gateway(tmp_path):
+    (tmp_path / "settings.json").write_text(json.dumps(gateways.SETTINGS))
+    (tmp_path / "stores.csv").write_text("name,address,zone,kind\ns-00000001,127.0.0.1:9,edge-1,petit\n")
+    lines = "name: n0\nlisten: 127.0.0.1:0\nsettings: settings.json\ninventory: stores.csv\n"
+    path = tmp_path / "operator.yaml"
+    path.write_text(lines + "board: 127.0.0.1:1\nboards: ['127.0.0.1:2', '127.0.0.1:3']\n")
+    assert load_operator(str(path), {}).boards == (("127.0.0.1", 2), ("127.0.0.1", 3))
+    for wrong in (
+        "board: 127.0.0.1:1\nboards: [here]\n",
+        "boards: ['127.0.0.1:2']\n",
+        "board: 127.0.0.1:1\nboards: 7\n",
+    ):
+        path.write_text(lines + wrong)
+        with pytest.raises(BadConfig):
+            load_operator(str(path), {})
