Give a test's own list its name back

Cause: the rename of ServerDirectory.heard_of took along an attribute of that name in tests/test_upgrade.py, which has nothing to do with it.

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -234,10 +234,10 @@
 
 class Ear:
     def __init__(self):
-        self.recently_listed, self.ended = [], False
+        self.heard_of, self.ended = [], False
 
     def heard(self, link, message, sock):
-        self.recently_listed.append((message.kind, sock))
+        self.heard_of.append((message.kind, sock))
 
     def parted(self, link):
         self.ended = True
@@ -259,7 +259,7 @@
         theirs.sendall(data if isinstance(data, bytes) else data.encode())
     for _ in range(3):
         loop.turn(1_000_000)
-    assert ([k for k, _ in ear.recently_listed], ear.ended) == (kinds, ends)
+    assert ([k for k, _ in ear.heard_of], ear.ended) == (kinds, ends)
     theirs.close()
     loop.close()
 
@@ -273,9 +273,9 @@
     for message in (unknown, Message(Kind.LISTENER, with_socket=True)):
         sender.send(message, os.dup(left.fileno()))
     sender.send(Message(Kind.LOOK))
-    while len(ear.recently_listed) < 2:
+    while len(ear.heard_of) < 2:
         loop.turn(1_000_000)
-    (kind, sock), _ = ear.recently_listed
+    (kind, sock), _ = ear.heard_of
     left.close()
     sock.sendall(b"here")
     assert kind is Kind.LISTENER and right.recv(9) == b"here"
@@ -355,7 +355,7 @@
     with open(tmp_path / "file") as file:
         socket.send_fds(theirs, [Message(Kind.LISTENER, with_socket=True).encode()], [file.fileno()])
     loop.turn(1_000_000)
-    assert ear.ended and not ear.recently_listed
+    assert ear.ended and not ear.heard_of
     theirs.close()
     loop.close()
     new, (left, right) = upgrade.follow(), socket.socketpair()
