Measure control over the fleet's size with hollow gateways beside real ones

Hollow gateways run the program's own loop, control plane, ledger and planner without the request path, many in a process; a stand-in of the discovery service answers their polls, and faults, backlogs, an observer at stand-in stores and the build before the issue are measured in the same run.

--- /dev/null
+++ b/benchmarks/_scale_cost.py
@@ -0,0 +1,79 @@
+"""What a real gateway spends on control, and whether a hollow one spends as much, side by side in a run."""
+
+from __future__ import annotations
+
+import statistics
+from pathlib import Path
+from typing import Any
+
+from benchmarks._deployment import IDLE, MAIN, REAL, Deployment, Span, store_list
+from benchmarks._processes import resident_mb
+
+TARGET_PURGES_PER_S = 150.0
+WARM_S = 1.0  # of purges, before anything is measured
+
+
+def per_gateway(loaded: float, idle: float, count: int) -> float:
+    """The cost of one of `count` gateways that hear events, less that of as many that hear none."""
+    return (loaded - idle) / count
+
+
+def run_cost(
+    folder: Path, seed: int, count: int, stores: int, seconds: float, repeats: int
+) -> dict[str, Any]:
+    """Real and hollow gateways at the target's purges, with as many of each that hear nothing."""
+    with Deployment(folder, store_list(stores), seed) as fleet:
+        real, real_idle = fleet.real(fleet.config(REAL)), fleet.real(fleet.config(IDLE))
+        empty = fleet.real(fleet.config(IDLE, known={"rev": 0, "notices": []}))  # knows no store
+        hollow, hollow_idle = fleet.hollow(count), fleet.hollow(count, IDLE)
+        for gateway in (real, real_idle, empty):
+            gateway.port()
+        fleet.connected()
+        spans = list[Span]()
+        length = WARM_S + repeats * (seconds + 0.5) + 5.0
+        fleet.discovery.do("purges", rate=TARGET_PURGES_PER_S, seconds=length)
+        fleet.measure(WARM_S)
+        for _ in range(repeats):
+            spans.append(fleet.measure(seconds))
+        whole_mb = resident_mb(real.process.pid)
+        own_mb = whole_mb - resident_mb(empty.process.pid)
+        fleet.discovery.do("stop_purges")
+        fleet.caught_up(hollow)
+        real_pct = [100 * s.share(real.process.pid) - 100 * s.share(real_idle.process.pid) for s in spans]
+        hollow_pct = [
+            100 * per_gateway(s.share(hollow.process.pid), s.share(hollow_idle.process.pid), count)
+            for s in spans
+        ]
+        started = hollow.process.wait_started()
+        return {
+            "purges_s": TARGET_PURGES_PER_S,
+            "stores": stores,
+            "hollow_gateways": count,
+            "seconds": seconds,
+            "repeats": repeats,
+            "compiled": started["compiled"],
+            "left_out": started["left_out"],
+            "real_pct": _spread(real_pct),
+            "real_whole_pct": _spread([100 * s.share(real.process.pid) for s in spans]),
+            "real_idle_pct": _spread([100 * s.share(real_idle.process.pid) for s in spans]),
+            "hollow_pct": _spread(hollow_pct),
+            "hollow_idle_pct": _spread([100 * s.share(hollow_idle.process.pid) / count for s in spans]),
+            "hollow_over_real": round(sum(hollow_pct) / sum(real_pct), 3) if sum(real_pct) else None,
+            "real_kb_s": _spread([s.traffic[REAL].kb for s in spans]),
+            "hollow_kb_s": _spread([s.traffic[MAIN].kb / count for s in spans]),
+            "real_polls_s": _spread([s.traffic[REAL].polls for s in spans]),
+            "hollow_polls_s": _spread([s.traffic[MAIN].polls / count for s in spans]),
+            "real_mb": round(whole_mb, 2),
+            "real_own_mb": round(own_mb, 2),
+            "hollow_mb": round(hollow.gateway_mb(), 2),
+            "in_force": fleet.times("purges").row(),
+        }
+
+
+def _spread(values: list[float]) -> dict[str, float]:
+    """Median, least and most."""
+    return {
+        "median": round(statistics.median(values), 4),
+        "least": round(min(values), 4),
+        "most": round(max(values), 4),
+    }
--- /dev/null
+++ b/benchmarks/scale.py
@@ -0,0 +1,247 @@
+"""What control costs over the fleet's size, and whether it keeps its promises under faults.
+
+Hollow gateways run the control side of the program, hundreds of them beside real ones, against a stand-in of
+the platform's discovery service. Each cost is fitted over four sizes and more; the last line has the whole.
+The short form has one size or two of everything, claims no slopes, and ends within a minute.
+"""
+
+from __future__ import annotations
+
+import os
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from benchmarks._processes import native
+from benchmarks._scale_axes import backlog_axis, changes_axis, gateways_axis, purges_axis, stores_axis
+from benchmarks._scale_backlog import BULKS, run_backlog, run_bulks
+from benchmarks._scale_capacity import at_target
+from benchmarks._scale_cost import TARGET_PURGES_PER_S, run_cost
+from benchmarks._scale_faults import run_faults
+from benchmarks._scale_previous import check_out, longest_turn, polls_axis
+
+RELAYS = None  # no relay answers polls in this run
+
+
+@dataclass(frozen=True)
+class Sizes:
+    """Of one form of the benchmark; sizes of axes in ascending order."""
+
+    cost_gateways: int
+    cost_stores: int
+    cost_s: float
+    span_s: float
+    repeats: int
+    fleet: tuple[int, ...]  # at few purges
+    fleet_purges_s: float
+    target_fleet: tuple[int, ...]  # at the target's purges
+    stores: tuple[int, ...]
+    purges: tuple[float, ...]
+    backlogs: tuple[int, ...]
+    changes: tuple[float, ...]
+    changes_span_s: float
+    axis_gateways: int
+    fault_gateways: int
+    fault_cut: int
+    fault_purges_s: float
+    fault_backlog: int
+    fault_stage_s: float
+    real_backlog: int
+    bulks: tuple[int, ...]
+    previous: tuple[int, ...]
+    previous_bulk: int
+
+
+LONG = Sizes(
+    cost_gateways=64,
+    cost_stores=70,
+    cost_s=5.0,
+    span_s=3.0,
+    repeats=3,
+    fleet=(64, 128, 256, 512, 1_024),
+    fleet_purges_s=10.0,
+    target_fleet=(16, 64, 128, 256),
+    stores=(70, 280, 560, 1_120),
+    purges=(10.0, 40.0, 150.0, 600.0),
+    backlogs=(1_000, 8_000, 64_000, 540_000),
+    changes=(15.0, 60.0, 120.0, 240.0),
+    changes_span_s=8.0,
+    axis_gateways=64,
+    fault_gateways=256,
+    fault_cut=4,
+    fault_purges_s=TARGET_PURGES_PER_S,
+    fault_backlog=540_000,
+    fault_stage_s=4.0,
+    real_backlog=540_000,
+    bulks=BULKS,
+    previous=(1, 2, 4, 8, 16),
+    previous_bulk=30_000,
+)
+SHORT = Sizes(
+    cost_gateways=8,
+    cost_stores=70,
+    cost_s=2.0,
+    span_s=1.0,
+    repeats=1,
+    fleet=(8, 32),
+    fleet_purges_s=10.0,
+    target_fleet=(),
+    stores=(70, 280),
+    purges=(10.0, 40.0),
+    backlogs=(1_000, 4_000),
+    changes=(60.0,),
+    changes_span_s=2.0,
+    axis_gateways=8,
+    fault_gateways=16,
+    fault_cut=2,
+    fault_purges_s=50.0,
+    fault_backlog=5_000,
+    fault_stage_s=1.0,
+    real_backlog=20_000,
+    bulks=(2_000, 4_000),
+    previous=(2,),
+    previous_bulk=6_000,
+)
+
+
+class Progress:
+    """Prints what has been measured, with the seconds since the start."""
+
+    def __init__(self) -> None:
+        self._began = time.monotonic()
+
+    def __call__(self, what: str) -> None:
+        print(f"{time.monotonic() - self._began:6.1f} s  {what}", flush=True)
+
+    def elapsed_s(self) -> float:
+        return time.monotonic() - self._began
+
+
+def run(short: bool, seed: int, trials: int) -> dict[str, Any]:
+    """Everything of one form; `trials` has no meaning here."""
+    sizes, said = SHORT if short else LONG, Progress()
+    with tempfile.TemporaryDirectory() as name:
+        found = _run(Path(name), sizes, seed, said)
+    found["parts"]["seconds"] = round(said.elapsed_s(), 1)
+    found["parts"]["load_average"] = [round(load, 1) for load in os.getloadavg()]
+    return found
+
+
+def _run(folder: Path, sizes: Sizes, seed: int, said: Progress) -> dict[str, Any]:
+    said(f"compiled: {native()}, {os.cpu_count()} cores, load {os.getloadavg()[0]:.1f}")
+    previous = check_out(folder / "previous")
+    try:
+        if previous is not None and native():
+            previous.start_compiling()
+            previous.wait_compiled()
+            said(f"previous build compiled: {previous.compiled}")
+        parts = _axes(folder, sizes, seed, said)
+        parts |= _real(folder, sizes, seed, said)
+        parts["previous"] = None
+        if previous is not None:
+            parts["previous"] = _previous(folder, sizes, seed, said, previous)
+    finally:
+        if previous is not None:
+            previous.close()
+    return summary(parts)
+
+
+def _axes(folder: Path, sizes: Sizes, seed: int, said: Progress) -> dict[str, Any]:
+    gateways, span, repeats = sizes.axis_gateways, sizes.span_s, sizes.repeats
+    axes = {
+        "gateways": gateways_axis(
+            folder / "gateways", seed, sizes.fleet, sizes.fleet_purges_s, span, repeats, said
+        ),
+        "gateways_at_target": gateways_axis(
+            folder / "target", seed, sizes.target_fleet, TARGET_PURGES_PER_S, span, repeats, said
+        ),
+        "stores": stores_axis(folder, seed, sizes.stores, gateways, 50.0, span, repeats, said),
+        "purges": purges_axis(folder / "purges", seed, sizes.purges, gateways, span, repeats, said),
+        "backlog": backlog_axis(folder, seed, sizes.backlogs, 2, repeats, said),
+        "changes": changes_axis(
+            folder / "changes",
+            seed,
+            sizes.changes,
+            gateways,
+            sizes.cost_stores,
+            sizes.changes_span_s,
+            repeats,
+            said,
+        ),
+    }
+    target = at_target(axes["gateways_at_target"])
+    return {"axes": {name: axis.row() for name, axis in axes.items()}, "target": target}
+
+
+def _real(folder: Path, sizes: Sizes, seed: int, said: Progress) -> dict[str, Any]:
+    cost = run_cost(
+        folder / "cost", seed, sizes.cost_gateways, sizes.cost_stores, sizes.cost_s, sizes.repeats
+    )
+    said(f"real {cost['real_pct']} %, hollow over real {cost['hollow_over_real']}")
+    faults = run_faults(
+        folder / "faults",
+        seed,
+        sizes.fault_gateways,
+        sizes.fault_cut,
+        sizes.fault_purges_s,
+        sizes.fault_backlog,
+        sizes.fault_stage_s,
+        said,
+    )
+    said(f"faults: used late {faults['used_late']}, in force {faults['in_force']}")
+    backlog = run_backlog(folder / "backlog", seed, sizes.real_backlog)
+    said(f"backlog of a real gateway: {backlog}")
+    bulks = run_bulks(folder, seed, (sizes.bulks[0], sizes.bulks[1]), sizes.repeats)
+    said(f"bulks: {bulks}")
+    return {"cost": cost, "faults": faults, "backlog": backlog, "bulks": bulks}
+
+
+def _previous(folder: Path, sizes: Sizes, seed: int, said: Progress, build: Any) -> dict[str, Any]:
+    axis = polls_axis(
+        folder / "previous-polls",
+        seed,
+        build,
+        sizes.previous,
+        TARGET_PURGES_PER_S,
+        sizes.span_s,
+        sizes.repeats,
+        said,
+    )
+    before = longest_turn(folder / "previous-turn", seed, build, sizes.previous_bulk)
+    now = longest_turn(folder / "turn", seed, None, sizes.previous_bulk)
+    said(f"{sizes.previous_bulk} purges in one answer: before {before}, now {now}")
+    return {"axis": axis.row(), "target": at_target(axis), "turn": before, "turn_now": now}
+
+
+def summary(parts: dict[str, Any]) -> dict[str, Any]:
+    """The figures that pages cite, before the parts that they come from."""
+    cost, faults, backlog, axes = parts["cost"], parts["faults"], parts["backlog"], parts["axes"]
+    target, previous = parts["target"], parts["previous"] or {}
+    stages = [stage for name, stage in faults["in_force"].items()]
+    changes = axes["changes"]["points"]
+    fleet = [point["size"] for name in ("gateways", "gateways_at_target") for point in axes[name]["points"]]
+    before = previous.get("target")
+    return {
+        "gateways": max(fleet, default=0),
+        "cpu_pct_gateway": cost["real_pct"]["median"],
+        "kb_s_gateway": cost["real_kb_s"]["median"],
+        "mb_gateway": cost["real_own_mb"],
+        "hollow_over_real": cost["hollow_over_real"],
+        "purge_everywhere_ms_p99": max(stage["p99_ms"] for stage in stages),
+        "purge_everywhere_ms_max": max(stage["max_ms"] for stage in stages),
+        "config_everywhere_ms_max": max(
+            max(point["changes_ms_max"], point["reloads_ms_max"]) for point in changes
+        ),
+        "purged_used_late": faults["used_late"],
+        "backlog_s": backlog["backlog_s"],
+        "longest_turn_ms": backlog["longest_turn_ms"],
+        "control_machines": None if target is None else target["machines"],
+        "control_machines_before": None if before is None else before["machines"],
+        "baseline_turn_ms": previous.get("turn", {}).get("longest_logged_turn_ms"),
+        "relays": RELAYS,
+        "relay_machines": None,
+        "purge_everywhere_ms_max_relay_killed": None,
+        "parts": parts,
+    }
