--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,343 @@
+"""Scale benchmark: its stand-ins, its accounting, hollow gateways, and the short form as a whole."""
+
+import json
+import re
+import socket
+import time
+
+import pytest
+
+from benchmarks._deployment import IDLE, Deployment, in_force, store_list
+from benchmarks._hollow import LONGEST_MS, HollowFleet, Times
+from benchmarks._observer import Ask, Office, Purge, hot_names, old_copies, served_share, used_late
+from benchmarks._scale_axes import Axis, Point
+from benchmarks._scale_capacity import CORES, LOAD, at_target, machines
+from benchmarks._scale_cost import per_gateway
+from benchmarks._scale_faults import publish
+from benchmarks._slopes import fit
+from benchmarks._standin_discovery import DiscoveryService, History, PurgeSource, purge, tag, tagged_us
+from benchmarks.scale import run
+from olivecourse.emulator.settings import settings
+
+CLASSES = [("fichiers", 2500, "idempotent", False), ("commande", 2500, "at_most_once", True)]
+LIMIT_S = 20.0
+
+
+def turned(*parts, until):
+    """Turns services and fleets until something has come about."""
+    end = time.monotonic() + LIMIT_S
+    while not (found := until()):
+        assert time.monotonic() < end
+        for part in parts:
+            part()
+    return found
+
+
+class Poller:
+    """One connection on which polls are written and answers read."""
+
+    def __init__(self, service, number):
+        self.service, self.sock, self.data = service, socket.create_connection(("127.0.0.1", number)), b""
+        self.sock.setblocking(False)
+
+    def ask(self, watch, linger=0):
+        self.sock.sendall(b"GET /board/poll?watch=%d&linger=%d HTTP/1.1\r\nHost: d\r\n\r\n" % (watch, linger))
+
+    def whole(self):
+        try:
+            self.data += self.sock.recv(1 << 20)
+        except BlockingIOError:
+            pass
+        head, end, body = self.data.partition(b"\r\n\r\n")
+        if not end or len(body) < int(re.search(rb"Content-Length: (\d+)", head)[1]):
+            return None
+        self.data = b""
+        return json.loads(body)
+
+    def answer(self):
+        return turned(lambda: self.service.turn(0.01), until=self.whole)
+
+
+@pytest.fixture
+def service():
+    made = DiscoveryService(History())
+    made.open_port("main")
+    yield made
+    made.close()
+
+
+@pytest.fixture
+def poller(service):
+    made = Poller(service, service.ports["main"].number)
+    yield made
+    made.sock.close()
+
+
+# The stand-in of the discovery service --------------------------------------------------------------------
+
+
+def test_events_are_numbered_and_a_poll_gets_those_it_lacks(service, poller):
+    service.publish([purge(tag(5_000, 1)), purge(tag(6_000, 2))])
+    poller.ask(1)
+    answer = poller.answer()
+    assert answer["rev"] == 2 and [event["rev"] for event in answer["notices"]] == [2]
+    assert tagged_us(answer["notices"][0]["flush"]["asset"]) == 6
+
+
+def test_a_poll_waits_for_an_event_and_one_answer_is_encoded_for_all(service):
+    pollers = [Poller(service, service.ports["main"].number) for _ in range(3)]
+    for poller in pollers:
+        poller.ask(0, 5_000)
+    turned(lambda: service.turn(0.01), until=lambda: service.ports["main"].traffic.polls == 3)
+    service.publish([purge(tag(1, 1))])
+    assert [poller.answer()["rev"] for poller in pollers] == [1, 1, 1]
+    assert service.history.answer(0) is service.history.answer(0)
+    for poller in pollers:
+        poller.sock.close()
+
+
+def test_a_poll_without_news_is_answered_after_its_time(service, poller):
+    poller.ask(0, 20)
+    assert poller.answer() == {"rev": 0, "notices": []}
+
+
+def test_a_muted_port_hears_of_nothing(service):
+    poller = Poller(service, service.open_port("idle", muted=True))
+    service.publish([purge(tag(1, 1))])
+    poller.ask(0, 20)
+    assert poller.answer()["notices"] == []
+    poller.sock.close()
+
+
+def test_late_answers_come_and_hold_what_was_published_meanwhile(service, poller):
+    service.late_share, service.late_s = 1.0, 0.05
+    service.publish([purge(tag(1, 1))])
+    poller.ask(0)
+    turned(lambda: service.turn(0.01), until=lambda: service.ports["main"].traffic.polls == 1)
+    service.publish([purge(tag(2, 2))])
+    assert [event["rev"] for event in poller.answer()["notices"]] == [1, 2]
+
+
+def test_a_cut_port_lets_nobody_in_until_it_is_joined(service, poller):
+    number = service.ports["main"].number
+    poller.ask(0, 5_000)
+    turned(lambda: service.turn(0.01), until=lambda: service.ports["main"].traffic.polls == 1)
+    service.cut("main")
+    assert poller.sock.recv(1) == b""
+    with pytest.raises(OSError):
+        socket.create_connection(("127.0.0.1", number), timeout=1)
+    service.join("main")
+    again = Poller(service, number)
+    again.ask(0, 1)
+    assert again.answer()["rev"] == 0
+    again.sock.close()
+
+
+def test_what_is_no_poll_ends_the_connection(service, poller):
+    poller.sock.sendall(b"GET /elsewhere HTTP/1.1\r\n\r\n")
+
+    def ended():
+        try:
+            return poller.sock.recv(1) == b""
+        except BlockingIOError:
+            return False
+
+    assert turned(lambda: service.turn(0.01), until=ended)
+
+
+def test_numbers_go_on_after_a_kill_also_in_the_middle_of_a_line(tmp_path):
+    path = str(tmp_path / "events")
+    first = History(path)
+    first.append([purge(tag(1, 1)), purge(tag(2, 2))])
+    first.close()
+    with open(path, "ab") as file:
+        file.write(b'{"rev":3,"fl')
+    second = History(path)
+    second.append([purge(tag(4, 4))])
+    second.close()
+    found = History(path)
+    assert [json.loads(event)["rev"] for event in found.events] == [1, 2, 3]
+    found.close()
+
+
+def test_purges_come_at_their_rate_and_hot_ones_are_told(service):
+    told = []
+    source = PurgeSource(service, lambda name, at_ns, ms: told.append(name))
+    source.start(1_000.0, 0.1, ["a" * 16, "b" * 16], 10)
+    turned(lambda: service.turn(0.01), until=lambda: source.published == 100)
+    assert service.history.rev == 100 and told == (["b" * 16, "a" * 16] * 5)
+
+
+# Accounting -----------------------------------------------------------------------------------------------
+
+
+def test_times_of_processes_add_up():
+    one, other = Times(), Times()
+    for _ in range(98):
+        one.add(0, 2_500)
+    other.add(0, 40_000)
+    other.add(0, (LONGEST_MS + 5) * 1_000)
+    found = in_force([one.row(), other.row()])
+    assert (found.count, found.median_ms, found.p99_ms) == (100, 2.0, 40.0)
+    assert found.longest_ms == LONGEST_MS + 5
+    assert in_force([Times().row()]).row() == {"count": 0, "median_ms": 0.0, "p99_ms": 0.0, "max_ms": 0.0}
+
+
+def test_reads_after_a_purge_are_judged_by_the_age_they_ask_for():
+    made = Purge("a", 100.0, 50_000)
+    asks = [
+        Ask("a", 99.9, 49_900, None),  # before it
+        Ask("a", 100.2, 50_200, None),  # within the grace
+        Ask("a", 100.5, 50_500, None),  # any copy would do
+        Ask("a", 100.5, 50_500, 600),  # one from before the purge would do
+        Ask("a", 100.5, 50_500, 499),
+        Ask("b", 100.5, 50_500, None),
+        Ask("a", 106.5, 56_500, None),  # stores have dropped it
+    ]
+    old = old_copies(asks, [made], 6.0)
+    assert [late.ask for late in old] == asks[1:4]
+    assert used_late(old, lambda purge: 0.3) == 2
+    assert used_late(old, lambda purge: 3.1) == 0
+
+
+def test_a_read_counts_once_however_many_purges_it_misses():
+    purges = [Purge("a", 100.0, 50_000), Purge("a", 101.0, 51_000)]
+    old = old_copies([Ask("a", 102.0, 52_000, None)], purges, 6.0)
+    assert len(old) == 2 and used_late(old, lambda purge: 0.3) == 1
+
+
+def test_shares_of_requests_and_costs():
+    assert served_share({"served": 10, "failed": 1}, {"served": 109, "failed": 2, "lost": 0}) == 0.99
+    assert served_share({"served": 1}, {"served": 1}) is None
+    assert per_gateway(0.5, 0.1, 4) == pytest.approx(0.1)
+    assert machines(100.0 * CORES * LOAD) == 1.0
+
+
+def test_no_slope_is_claimed_from_few_sizes():
+    axis = Axis("gateways", {}, [Point(size, {"answerer_pct": size}) for size in (8, 32)])
+    assert axis.slope("answerer_pct") is None and axis.row()["slopes"] == {}
+    assert at_target(axis) is None
+
+
+def test_machines_for_the_target_follow_from_the_upper_end_of_the_slope():
+    costs = [(n, 0.5 * n + r) for n in (16, 64, 128, 256) for r in (-0.2, 0.0, 0.2)]
+    points = [Point(n, {"answerer_pct": cost, "answerer_kb_s_out": 10.0 * n}) for n, cost in costs]
+    found = at_target(Axis("gateways", {}, points))
+    assert found["cores_high"] == pytest.approx(fit(costs).at(7_500).high / 100, rel=0.01)
+    assert found["machines"] == pytest.approx(found["cores_high"] / 4, rel=0.01)
+    assert found["mbit_s_high"] == pytest.approx(600, rel=0.01)
+
+
+# Hollow gateways ------------------------------------------------------------------------------------------
+
+
+@pytest.fixture
+def fleet(service, tmp_path):
+    """Eight hollow gateways that have taken a list of stores; `fleet.turned(until)` turns all."""
+    pool = {"revision": 1, "complete": True, "members": store_list(12)}
+    service.publish([b'"pool":' + json.dumps(pool).encode()])
+    path = tmp_path / "config.json"
+    path.write_text(
+        json.dumps(
+            {
+                "name": "n0",
+                "listen": "127.0.0.1:0",
+                "seed": "1",
+                "board": f"127.0.0.1:{service.ports['main'].number}",
+                "settings": settings(CLASSES),
+                "known": {"rev": 0, "notices": []},
+            }
+        )
+    )
+    made = HollowFleet(str(path), 0)
+    made.add(8)
+    made.turned = lambda until: turned(lambda: made.turn(1_000_000), lambda: service.turn(0.0), until=until)
+    made.turned(lambda: all(gateway.rev == service.history.rev for gateway in made.gateways))
+    made.clear()
+    yield made
+    made.close()
+
+
+def test_a_purge_is_in_force_at_every_hollow_gateway(service, fleet):
+    names = [tag(time.monotonic_ns(), serial) for serial in range(5)]
+    service.publish([purge(name) for name in names])
+    fleet.turned(lambda: fleet.purges.total == 5 * 8)
+    for gateway in fleet.gateways:
+        assert len(gateway.control.directory.members) == 12 and not gateway.logged
+        assert set(names) <= gateway.planner.router.purges.keys()
+
+
+def test_restarted_gateways_catch_up_and_old_purges_are_not_called_late(service, fleet):
+    service.publish([purge(tag(time.monotonic_ns(), 1))])
+    fleet.turned(lambda: fleet.purges.total == 8)
+    fleet.restart([0, 3])
+    fleet.turned(lambda: all(gateway.rev == service.history.rev for gateway in fleet.gateways))
+    assert fleet.purges.total == 8
+    service.publish([purge(tag(time.monotonic_ns(), 2))])
+    fleet.turned(lambda: fleet.purges.total == 16)
+
+
+def test_a_reload_takes_new_settings_everywhere(fleet):
+    path = fleet.gateways[0]._path
+    with open(path) as file:
+        said = json.load(file)
+    said["settings"]["limits"]["max_attempts"] = 3
+    with open(path, "w") as file:
+        json.dump(said, file)
+    fleet.reload(time.monotonic_ns() // 1_000)
+    assert {gateway.config.settings.max_attempts for gateway in fleet.gateways} == {3}
+    assert fleet.reloads.total == 8
+
+
+# Processes ------------------------------------------------------------------------------------------------
+
+
+def test_the_observer_finds_late_use_by_a_gateway_that_hears_of_no_purge(tmp_path):
+    office = Office()
+    try:
+        with Deployment(tmp_path / "fleet", office.members()) as fleet:
+            deaf = fleet.real(fleet.config(IDLE))
+            office.serve(deaf.port(), 1)
+            publish(fleet, 50.0, 600.0)
+            end = time.monotonic() + LIMIT_S
+            while not _late(office, fleet) and time.monotonic() < end:
+                time.sleep(0.1)
+            office.stop()
+            assert _late(office, fleet)
+    finally:
+        office.close()
+
+
+def _late(office, fleet):
+    purges = [Purge(p["purged"], p["at_ns"] / 1e9, p["ms"]) for p in list(fleet.discovery.purged)]
+    assert {purge.name for purge in purges} <= set(hot_names())
+    return used_late(old_copies(list(office.asks), purges, 6.0), lambda purge: 0.3)
+
+
+def test_every_process_of_a_deployment_ends_with_it(tmp_path):
+    with pytest.raises(ZeroDivisionError), Deployment(tmp_path / "fleet", store_list(4)) as fleet:
+        hollow, gateway = fleet.hollow(2), fleet.real(fleet.config(IDLE))
+        fleet.connected()
+        processes = [hollow.process.process, gateway.process, fleet.discovery._process.process]
+        raise ZeroDivisionError
+    assert all(process.poll() is not None for process in processes)
+
+
+KEYS = (
+    "gateways cpu_pct_gateway kb_s_gateway mb_gateway hollow_over_real purge_everywhere_ms_p99 "
+    "purge_everywhere_ms_max config_everywhere_ms_max purged_used_late backlog_s longest_turn_ms "
+    "control_machines control_machines_before baseline_turn_ms"
+).split()
+
+
+def test_short_form():
+    found = run(short=True, seed=1, trials=0)
+    assert set(KEYS) <= found.keys() and json.loads(json.dumps(found)) == found
+    parts = found["parts"]
+    assert found["purged_used_late"] == 0, parts["faults"]
+    assert parts["faults"]["all_up_to_date"] and parts["faults"]["reads_of_purged_names"]
+    points = [point for name in ("gateways", "stores", "purges") for point in parts["axes"][name]["points"]]
+    assert points and not any(point["missing"] for point in points)
+    assert all(not axis["slopes"] for axis in parts["axes"].values())  # one repeat bears none
+    assert found["control_machines"] is None
+    assert found["backlog_s"] is not None and parts["cost"]["in_force"]["count"]
