--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -61,6 +61,7 @@
     bulks: tuple[int, ...]
     previous: tuple[int, ...]
     previous_bulk: int
+    compile_previous: bool  # which takes a minute
 
 
 LONG = Sizes(
@@ -87,6 +88,7 @@
     bulks=BULKS,
     previous=(1, 2, 4, 8, 16),
     previous_bulk=30_000,
+    compile_previous=True,
 )
 SHORT = Sizes(
     cost_gateways=8,
@@ -112,6 +114,7 @@
     bulks=(2_000, 4_000),
     previous=(2,),
     previous_bulk=6_000,
+    compile_previous=False,
 )
 
 
@@ -142,7 +145,7 @@
     said(f"compiled: {native()}, {os.cpu_count()} cores, load {os.getloadavg()[0]:.1f}")
     previous = check_out(folder / "previous")
     try:
-        if previous is not None and native():
+        if previous is not None and sizes.compile_previous and native():
             previous.start_compiling()
             previous.wait_compiled()
             said(f"previous build compiled: {previous.compiled}")
