--- a/benchmarks/_hollow.py
+++ b/benchmarks/_hollow.py
@@ -77,6 +77,7 @@
         self.logged: list[str] = []
         self.events = 0  # of discovery that are in force, since the start
         self.started_us = 0
+        self.telling_ns = 0  # of this thread's time, for the benchmark's own counts
         settings = self.config.settings
         self.tracker = Ledger(settings, LoopTimers(self.loop), self.batch.append, self.log, most=MOST_OPEN)
         self.control = ControlPlane(
@@ -124,11 +125,13 @@
                 self._tell(events)
 
     def _tell(self, events: list[w.Event]) -> None:
+        began = time.thread_time_ns()
         now_us = time.monotonic_ns() // 1_000
         for event in events:
             if not isinstance(event, w.TimerFired):
                 self.events += 1
                 self._took(self, event, now_us)
+        self.telling_ns += time.thread_time_ns() - began
 
     def step(self) -> int:
         """One turn of the loop without a wait; how many ns nothing can come but from sockets."""
@@ -188,6 +191,7 @@
         self.gateways: list[HollowGateway] = []
         self.purges, self.changes, self.reloads = Times(), Times(), Times()
         self.eviction = CacheEviction()
+        self._ended_ns = 0  # the same time of gateways that were restarted
         self._epoll = select.epoll()
         self._watched: dict[int, Callable[[], None]] = {}
         self._dues: list[tuple[int, int]] = []
@@ -211,6 +215,7 @@
     def restart(self, places: list[int]) -> None:
         """Kills those gateways, all at once, and starts each from its configuration."""
         for place in places:
+            self._ended_ns += self.gateways[place].telling_ns
             self._watched.pop(self.gateways[place].loop._selector.fileno())
             self.gateways[place].stop()
         for place in places:
@@ -270,6 +275,11 @@
         (gateway,) = self.gateways
         gateway.loop.run(gateway.decide)
 
+    def excluded_ns(self) -> int:
+        """What this thread spent on the benchmark's own, which is no cost of a gateway."""
+        telling = sum(gateway.telling_ns for gateway in self.gateways)
+        return self.eviction.spent_ns + telling + self._ended_ns
+
     def close(self) -> None:
         for gateway in self.gateways:
             gateway.stop()
--- a/benchmarks/_hollow_process.py
+++ b/benchmarks/_hollow_process.py
@@ -81,7 +81,7 @@
             "least_events": min((gateway.events for gateway in gateways), default=0),
             "mb": resident_mb(),
             "cpu_s": time.process_time(),
-            "excluded_s": self._fleet.eviction.spent_ns / 1e9,
+            "excluded_s": self._fleet.excluded_ns() / 1e9,
             "logged": [line for gateway in gateways for line in gateway.logged][:5],
         }
 
--- a/benchmarks/_scale_backlog.py
+++ b/benchmarks/_scale_backlog.py
@@ -45,11 +45,14 @@
     most_mb: float
 
 
-def take_bulk(fleet: Deployment, gateway: Gateway, group: str, count: int, patience_s: float) -> Taken:
-    """So many purges are published at once; until the gateway polls with the number of the last one."""
+def take_bulk(
+    fleet: Deployment, gateway: Gateway, group: str, count: int, patience_s: float, per_s: float = 0.0
+) -> Taken:
+    """So many purges are published at once, made now or at that rate up to now; until the gateway polls with
+    the number of the last one."""
     spent = processor_s(gateway.process.pid)
     began = time.monotonic_ns()
-    rev = fleet.discovery.do("backlog", count=count)["rev"]
+    rev = fleet.discovery.do("backlog", count=count, per_s=per_s)["rev"]
     most_mb, seconds = 0.0, None
     while time.monotonic_ns() - began < patience_s * 1e9:
         most_mb = max(most_mb, resident_mb(gateway.process.pid))
@@ -61,8 +64,9 @@
     return Taken(seconds, processor_s(gateway.process.pid) - spent, most_mb)
 
 
-def run_backlog(folder: Path, seed: int, count: int) -> dict[str, Any]:
-    """A backlog taken under a light load of requests."""
+def run_backlog(folder: Path, seed: int, count: int, per_s: float) -> dict[str, Any]:
+    """A backlog taken under a light load of requests: what was purged at a rate while nobody was connected,
+    or, for 0.0, all in the last moment, so that all of it still binds."""
     office = Office()
     try:
         with Deployment(folder, office.members(), seed) as fleet:
@@ -72,12 +76,13 @@
             time.sleep(CALM_S)
             idle_mb, before_ms = resident_mb(gateway.process.pid), longest_turn_ms(door)
             before = office.ends()
-            taken = take_bulk(fleet, gateway, REAL, count, PATIENCE_S)
+            taken = take_bulk(fleet, gateway, REAL, count, PATIENCE_S, per_s)
             office.stop()  # what was asked meanwhile is answered, or its time is over
             after_ms = longest_turn_ms(door)
             disconnected = len(gateway.heard("discovery_disconnected"))
             return {
                 "purges": count,
+                "made_per_s": per_s,
                 "backlog_s": None if taken.seconds is None else round(taken.seconds, 3),
                 "processor_s": round(taken.processor_s, 3),
                 "longest_turn_ms": None if after_ms is None else round(after_ms, 1),
--- a/benchmarks/_scale_cost.py
+++ b/benchmarks/_scale_cost.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import statistics
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
 from benchmarks._deployment import IDLE, MAIN, REAL, Deployment, Hollow, Span, store_list
 from benchmarks._processes import resident_mb
+from benchmarks._program import Gateway
 
 TARGET_PURGES_PER_S = 150.0
 ALONE = "alone"
@@ -29,16 +31,17 @@
 ) -> dict[str, Any]:
     """Real and hollow gateways at the target's purges, with as many of each that hear nothing.
 
-    `count` hollow ones share a process; `processes` have one each, which finds caches and wakes up as a real
-    one does: that is the comparison which shows that the classes cost the same.
+    `count` hollow ones share a process. As many as there are real ones, `processes`, have one each, which finds
+    caches and wakes up as a real one does: that comparison shows that the classes cost the same.
     """
     with Deployment(folder, store_list(stores), seed) as fleet:
-        real, real_idle = fleet.real(fleet.config(REAL)), fleet.real(fleet.config(IDLE))
+        reals = [fleet.real(fleet.config(REAL)) for _ in range(processes)]
+        reals_idle = [fleet.real(fleet.config(IDLE)) for _ in range(processes)]
         empty = fleet.real(fleet.config(IDLE, known={"rev": 0, "notices": []}))  # knows no store
         hollow, hollow_idle = fleet.hollow(count), fleet.hollow(count, IDLE)
         alone = [fleet.hollow(1, ALONE) for _ in range(processes)]
         alone_idle = [fleet.hollow(1, IDLE) for _ in range(processes)]
-        for gateway in (real, real_idle, empty):
+        for gateway in (*reals, *reals_idle, empty):
             gateway.port()
         fleet.connected()
         spans = list[Span]()
@@ -47,11 +50,11 @@
         fleet.measure(WARM_S)
         for _ in range(repeats):
             spans.append(fleet.measure(seconds))
-        whole_mb = resident_mb(real.process.pid)
+        whole_mb = statistics.median(resident_mb(gateway.process.pid) for gateway in reals)
         own_mb = whole_mb - resident_mb(empty.process.pid)
         fleet.discovery.do("stop_purges")
         fleet.caught_up(hollow)
-        real_pct = [100 * s.share(real.process.pid) - 100 * s.share(real_idle.process.pid) for s in spans]
+        real_pct = [100 * per_gateway(_share(s, reals), _share(s, reals_idle), processes) for s in spans]
         hollow_pct = [
             100 * per_gateway(s.share(hollow.process.pid), s.share(hollow_idle.process.pid), count)
             for s in spans
@@ -67,19 +70,20 @@
             "compiled": started["compiled"],
             "left_out": started["left_out"],
             "real_pct": _spread(real_pct),
-            "real_whole_pct": _spread([100 * s.share(real.process.pid) for s in spans]),
-            "real_idle_pct": _spread([100 * s.share(real_idle.process.pid) for s in spans]),
+            "real_whole_pct": _spread([100 * _share(s, reals) / processes for s in spans]),
+            "real_idle_pct": _spread([100 * _share(s, reals_idle) / processes for s in spans]),
             "hollow_pct": _spread(hollow_pct),
             "hollow_idle_pct": _spread([100 * s.share(hollow_idle.process.pid) / count for s in spans]),
+            "real_gateways": processes,
             "alone_processes": processes,
             "alone_pct": _spread(alone_pct),
             "alone_idle_pct": _spread([100 * _share(s, alone_idle) / processes for s in spans]),
             "hollow_over_real": _ratio(alone_pct, real_pct),
             "hollow_shared_over_real": _ratio(hollow_pct, real_pct),
             "why_shared_differs": WHY_SHARED_DIFFERS,
-            "real_kb_s": _spread([s.traffic[REAL].kb for s in spans]),
+            "real_kb_s": _spread([s.traffic[REAL].kb / processes for s in spans]),
             "hollow_kb_s": _spread([s.traffic[MAIN].kb / count for s in spans]),
-            "real_polls_s": _spread([s.traffic[REAL].polls for s in spans]),
+            "real_polls_s": _spread([s.traffic[REAL].polls / processes for s in spans]),
             "hollow_polls_s": _spread([s.traffic[MAIN].polls / count for s in spans]),
             "real_mb": round(whole_mb, 2),
             "real_own_mb": round(own_mb, 2),
@@ -88,8 +92,8 @@
         }
 
 
-def _share(span: Span, hollows: list[Hollow]) -> float:
-    return span.share(*(hollow.process.pid for hollow in hollows))
+def _share(span: Span, gateways: Sequence[Hollow | Gateway]) -> float:
+    return span.share(*(gateway.process.pid for gateway in gateways))
 
 
 def _ratio(costs: list[float], against: list[float]) -> float | None:
--- a/benchmarks/_staff.py
+++ b/benchmarks/_staff.py
@@ -30,27 +30,55 @@
         self.boxes = [Store(f"petit-{n}", delay_s=0.05) for n in range(4)]
         self.parent, self.origin = Store("parent-1"), Store("origin-1")
         self.world = World([*self.boxes, self.parent, self.origin])
-        members = [{"id": s.name, "host_port": s.address, "flavor": s.name.split("-")[0], "cell": 0,
-                    "locality": "praia" if s in self.boxes else "hub-nord", "phase": "Ready", "size": 8,
-                    "up_since_ms": 0} for s in self.world.stores]
-        known = {"rev": 1, "notices": [
-            {"rev": 1, "pool": {"revision": 1, "complete": True, "members": members}}]}
+        members = [
+            {
+                "id": s.name,
+                "host_port": s.address,
+                "flavor": s.name.split("-")[0],
+                "cell": 0,
+                "locality": "praia" if s in self.boxes else "hub-nord",
+                "phase": "Ready",
+                "size": 8,
+                "up_since_ms": 0,
+            }
+            for s in self.world.stores
+        ]
+        known = {
+            "rev": 1,
+            "notices": [{"rev": 1, "pool": {"revision": 1, "complete": True, "members": members}}],
+        }
         self.config = folder / "config.json"
-        self.config.write_text(json.dumps({
-            "name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "0f", "limits": LIMITS,
-            "settings": settings(CLASSES), "known": known}))
+        self.config.write_text(
+            json.dumps(
+                {
+                    "name": "n0",
+                    "listen": f"127.0.0.1:{self.port}",
+                    "seed": "0f",
+                    "limits": LIMITS,
+                    "settings": settings(CLASSES),
+                    "known": known,
+                }
+            )
+        )
 
     def start(self, tmpdir: str = "tmp") -> Gateway:
         """A further process; those with the same `tmpdir` are one gateway. Its door is in `door`."""
         (self.folder / tmpdir).mkdir(exist_ok=True)
         door = free_port()
-        made = Gateway(None, "--config", str(self.config), native=True, EDGE_MGMT=f"127.0.0.1:{door}",
-                       TMPDIR=str(self.folder / tmpdir))
+        made = Gateway(
+            None,
+            "--config",
+            str(self.config),
+            native=True,
+            EDGE_MGMT=f"127.0.0.1:{door}",
+            TMPDIR=str(self.folder / tmpdir),
+        )
         made.door = door
         return made
 
-    def call(self, gateway: Gateway, method: str, path: str,
-             said: str | None = None) -> tuple[int, str, float]:
+    def call(
+        self, gateway: Gateway, method: str, path: str, said: str | None = None
+    ) -> tuple[int, str, float]:
         """Status (0: nobody answered within 2 s), body, and seconds. The world stands still meanwhile."""
         began = time.monotonic()
         connection = HTTPConnection("127.0.0.1", gateway.door, timeout=2)
--- a/benchmarks/_standin_discovery.py
+++ b/benchmarks/_standin_discovery.py
@@ -43,9 +43,9 @@
     return int(name[:12], 16)
 
 
-def purge(name: str) -> bytes:
-    """The part of an event that purges an object now."""
-    return b'"flush":{"asset":"%s","ms":%d}' % (name.encode(), time.time_ns() // 1_000_000)
+def purge(name: str, age_ms: int = 0) -> bytes:
+    """The part of an event that purges an object, now or so many ms ago."""
+    return b'"flush":{"asset":"%s","ms":%d}' % (name.encode(), time.time_ns() // 1_000_000 - age_ms)
 
 
 def pool_change(member: dict[str, Any]) -> bytes:
@@ -422,7 +422,7 @@
         elif do == "stop_purges":
             self._source.stop()
         elif do == "backlog":
-            self._backlog(int(said["count"]))
+            self._backlog(int(said["count"]), float(said.get("per_s", 0.0)))
         elif do == "pool":
             service.publish([b'"pool":' + json.dumps(said["pool"], separators=(",", ":")).encode()])
         elif do == "change":
@@ -437,10 +437,16 @@
             raise ValueError(do)
         return self._state()
 
-    def _backlog(self, count: int) -> None:
-        """Events that came while nobody was connected: so many purges at once."""
+    def _backlog(self, count: int, per_s: float) -> None:
+        """Events that came while nobody was connected: purges made at that rate up to now, or all now."""
         now = time.monotonic_ns()
-        self._service.publish([purge(tag(now + serial * 1_000, serial)) for serial in range(count)])
+        gap_ms = 1_000 / per_s if per_s else 0.0
+        self._service.publish(
+            [
+                purge(tag(now + serial * 1_000, serial), int((count - 1 - serial) * gap_ms))
+                for serial in range(count)
+            ]
+        )
 
     def _state(self) -> dict[str, Any]:
         ports = {name: asdict(port.traffic) for name, port in self._service.ports.items()}
--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -200,11 +200,13 @@
         said,
     )
     said(f"faults: used late {faults['used_late']}, in force {faults['in_force']}")
-    backlog = run_backlog(folder / "backlog", seed, sizes.real_backlog)
+    backlog = run_backlog(folder / "backlog", seed, sizes.real_backlog, TARGET_PURGES_PER_S)
     said(f"backlog of a real gateway: {backlog}")
+    rush = run_backlog(folder / "rush", seed, sizes.real_backlog, 0.0)
+    said(f"the same, all purged just now: {rush}")
     bulks = run_bulks(folder, seed, (sizes.bulks[0], sizes.bulks[1]), sizes.effort.repeats)
     said(f"bulks: {bulks}")
-    return {"cost": cost, "faults": faults, "backlog": backlog, "bulks": bulks}
+    return {"cost": cost, "faults": faults, "backlog": backlog, "rush": rush, "bulks": bulks}
 
 
 def _previous(folder: Path, sizes: Sizes, seed: int, said: Progress, build: Any) -> dict[str, Any]:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -228,6 +228,14 @@
     assert found["mbit_s_high"] == pytest.approx(600, rel=0.01)
 
 
+def test_a_cost_that_bends_down_is_not_promised_to_go_on_falling():
+    costs = [(n, 10.0 * n**0.5 + r) for n in (16, 64, 128, 256) for r in (-0.2, 0.0, 0.2)]
+    points = [Point(n, {"answerer_pct": cost, "answerer_kb_s_out": 10.0 * n}) for n, cost in costs]
+    found = at_target(Axis("gateways", {}, points))
+    assert not found["is_line"]
+    assert found["cores_high"] == pytest.approx((160.2 / 256) * 7_500 / 100, rel=0.01)
+
+
 # Hollow gateways ------------------------------------------------------------------------------------------
 
 
