--- a/benchmarks/_scale_cost.py
+++ b/benchmarks/_scale_cost.py
@@ -31,8 +31,8 @@
 ) -> dict[str, Any]:
     """Real and hollow gateways at the target's purges, with as many of each that hear nothing.
 
-    `count` hollow ones share a process. As many as there are real ones, `processes`, have one each, which finds
-    caches and wakes up as a real one does: that comparison shows that the classes cost the same.
+    `count` hollow ones share a process. As many as there are real ones, `processes`, have one each, which
+    finds caches and wakes up as a real one does: that comparison shows that the classes cost the same.
     """
     with Deployment(folder, store_list(stores), seed) as fleet:
         reals = [fleet.real(fleet.config(REAL)) for _ in range(processes)]
