--- a/benchmarks/_scale_axes.py
+++ b/benchmarks/_scale_axes.py
@@ -43,9 +43,12 @@
     points: list[Point] = field(default_factory=list)
 
     def slope(self, cost: str) -> Slope | None:
-        """The line of a cost over the sizes; None where too few were measured, or the cost is not known."""
+        """The line of a cost over the sizes; None where too few were measured, or the cost is not known or
+        the same in every measurement, which has no interval."""
         found = [(point.size, point.costs.get(cost)) for point in self.points]
         known = [(size, value) for size, value in found if value is not None]
+        if len({value for _, value in known}) < 2:
+            return None
         try:
             return fit(known)
         except ValueError:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -219,6 +219,11 @@
     assert at_target(axis) is None
 
 
+def test_a_cost_that_never_differs_has_no_slope():
+    points = [Point(size, {"missing": 0.0}) for size in (16, 64, 128, 256) for _ in range(3)]
+    assert Axis("gateways", {}, points).slope("missing") is None
+
+
 def test_machines_for_the_target_follow_from_the_upper_end_of_the_slope():
     costs = [(n, 0.5 * n + r) for n in (16, 64, 128, 256) for r in (-0.2, 0.0, 0.2)]
     points = [Point(n, {"answerer_pct": cost, "answerer_kb_s_out": 10.0 * n}) for n, cost in costs]
