--- a/benchmarks/_scale_previous.py
+++ b/benchmarks/_scale_previous.py
@@ -84,9 +84,10 @@
     """What whoever answers polls spends on real gateways of that build, over their number."""
     axis = Axis("gateways", {"purges_s": rate, "stores": 70})
     with Deployment(folder, store_list(70), seed) as fleet:
-        path = fleet.config(MAIN)
         running = list[Gateway]()
         for size in sizes:
+            # New ones know what has been published: to take it would count as calm.
+            path = fleet.config(MAIN, fleet.discovery.state()["rev"])
             fresh = [fleet.real(path, build.root) for _ in range(size - len(running))]
             for gateway in fresh:
                 gateway.port()
