Fold unsettled purges into one bound from 16,384 on, for 16 MB at any backlog

Ruled out: the parser and the ring buffer, which are bounded and the same in both cases.

Change: the limit is 16,384, which 2,700 purges a second for 6 s fit in; beyond, the oldest are one bound for every object, which costs fills and serves no purged copy.

--- a/olivecourse/purge_table.py
+++ b/olivecourse/purge_table.py
@@ -7,8 +7,8 @@
 Key = str | int | None  # an object or a group
 # A purge that had settled before it was told needs no guard: it is kept, out of caution, among so many.
 MAX_WITH_SETTLED = 16_384
-# Unsettled ones beyond this are folded into one bound: some 11 s of 6,000 purges a second, 20 MB at the most.
-MAX_UNSETTLED = 65_536
+# Unsettled ones beyond this are folded into one bound: 2,700 purges a second for 6 s, a few MB in each table.
+MAX_UNSETTLED = 16_384
 GROUPS = 256  # groups of objects that there are
 
 
