--- a/olivecourse/control_plane.py
+++ b/olivecourse/control_plane.py
@@ -51,6 +51,7 @@
         self._pacer = PollPacer(_graces_ns(config.settings))
         self._rev = config.rev  # the last event taken while nothing is polled
         self.purges = PurgeTable(keep=0)  # kept for planners in processes of their own only
+        self._purges_folded = 0  # of the tracker's table, as far as the log has told
 
     def start(self) -> None:
         """Begins to poll, where the configuration names an address."""
@@ -102,6 +103,14 @@
         terminated, self.directory.terminated_at = self.directory.terminated_at, {}
         for server, when in terminated.items():
             self._server_terminated(server, when)
+        self._report_folded()
+
+    def _report_folded(self) -> None:
+        """Logs that not all purges are kept one by one: objects that were not purged are filled anew."""
+        folded = self._tracker.purged.folded
+        if folded > self._purges_folded:
+            self._purges_folded = folded
+            self.log("purges_folded", since_start=folded)
 
     def _remember(self, news: w.Purged) -> None:
         key = news.group if news.object is None else news.object
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -17,7 +17,7 @@
 )
 from olivecourse.discovery.pacing import DEFAULT_GRACE_NS, PollPacer
 from olivecourse.emulator.observer import Observer
-from olivecourse.purge_table import GROUPS, PurgeTable
+from olivecourse.purge_table import GROUPS, MAX_UNSETTLED, PurgeTable
 
 MS = 1_000_000
 S = 1_000 * MS
@@ -115,6 +115,14 @@
         assert all(f"{n:016x}" in table for n in range(20_002, 20_502))
 
 
+def test_more_purges_than_are_kept_one_by_one_are_logged(stage):
+    now_ms = time.time_ns() // MS
+    stage.gateway.on_events(purges(2, MAX_UNSETTLED, now_ms))
+    assert "purges_folded" not in stage.names()
+    stage.gateway.on_events(purges(2 + MAX_UNSETTLED, 7, now_ms))
+    assert ("purges_folded", {"since_start": 7}) in stage.logged
+
+
 def test_a_planner_that_is_found_again_is_told_the_bound_of_every_object(stage):
     told = []
     control = stage.gateway.control
