--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -4,6 +4,7 @@
 import os
 import socket
 import threading
+import time
 
 import pytest
 from stage import OBJECT, REQUEST, SETTINGS, Peer, S, Stage, member
@@ -359,6 +360,31 @@
     stage.until(lambda: stage.board.poll() and len(stage.board.conns) > 1, seconds=1.5)
 
 
+@with_board
+def test_a_watch_that_falls_silent_after_it_has_told_much_is_given_up_in_time(stage):
+    for rev in range(2, 10):  # more than may be asked for at once: the polls are paced by now
+        stage.until(lambda rev=rev: f"watch={rev - 1}&".encode() in stage.board.poll())
+        stage.tell(rev, flush={"collection": rev, "ms": 5})
+    stage.until(lambda: b"watch=9&" in stage.board.poll())
+    asked = time.monotonic()
+    stage.until(lambda: stage.board.poll() and len(stage.board.conns) > 1, seconds=5)
+    assert time.monotonic() - asked >= 1.5, "a watch may wait for so long with nothing to tell"
+
+
+def test_a_request_that_comes_a_byte_at_a_time_is_served_once(stage):
+    client = stage.client()
+    fields = {"c": "fichiers", "i": REQUEST, "o": OBJECT, "d": "5000", "n": "0", "m": "41.5", "shard": "17"}
+    for byte in codec.encode("serve", 1, 1, codec.ServeArgs(fields=fields, body=b"")):
+        client.sock.sendall(bytes([byte]))
+        stage.turn()
+    line = stage.until(stage.cache.line)
+    assert line.startswith(f"fetch {REQUEST} ")
+    stage.cache.say(f"{REQUEST} data version=aa,stamp=1,n=HIT 2\r\nab\r\n".encode())
+    assert stage.until(client.answers) == [(1, "success", {}, b"ab")]
+    assert stage.cache.line() is None
+
+
+
 # Faults of our own -----------------------------------------------------------------------------------
 
 
