Spread what the agreement has chosen by rumor, and work out a release's waves once

Member.out and Member.group walked all offices for each table. Ruled out: the ballot itself (0.26 s at any size).

Change: rumor mongering (Demers et al., 1987): whoever learns a rumor passes it on once, to 12 peers drawn at random; beats stay the anti-entropy, and what they bring is no rumor, so that a start floods nobody. Learn has a fourth field, which an older gateway passes over and whose absence is read as no rumor. Waves are worked out once a release, nodes of an office once a process.

--- a/olivecourse/rollout/member.py
+++ b/olivecourse/rollout/member.py
@@ -28,6 +28,7 @@
 SYNC_NS = 200 * MS  # between two times that one peer is told all that is known here
 MOST_OUT = 8  # of a group's that a vote names: more than any budget
 FLOOD = 6  # peers that a halt is told by each who hears of it, in a fleet that is larger
+RUMOR_PEERS = 12  # peers that a learned value is passed on to: of n nodes, n / e^12 miss it on the mean
 MOST_ASKS = 64
 LEAST_SEEN, UNSEEN_SOAKS = 50, 10  # requests that a gate wants of the new version; soaks it waits for them
 
@@ -100,6 +101,10 @@
         """`life`: Unix ms of the start. `votes` as for a Register."""
         self.setup, self.life, self.version, self._random = setup, life, version, random
         self.hearing = Hearing(setup.me, setup.fleet, now)
+        self._peers = [node for node in setup.fleet if node != setup.me]
+        self._office_nodes: dict[str, list[int]] = {}
+        for node, office in setup.offices.items():
+            self._office_nodes.setdefault(office, []).append(node)
         self.world = World()
         self.service, self.ended, self.bad = Service.COLD, 0, 0
         self.register = Register(setup.me, setup.members, slots, self._judge, random, self._fenced, self._out,
@@ -115,6 +120,7 @@
         self._gate: tuple[int, Gate] | None = None
         self._through_since: tuple[tuple[int, int], int] | None = None
         self._heal()
+        self.register.on_chosen = self._spread
 
     # What is known ------------------------------------------------------------------------------------
 
@@ -148,12 +154,12 @@
         found = self.world.groups.get(key)
         if found is not None:
             return found
-        own = {n: self.setup.capacities.get(n, 1.0) for n, k in self.setup.offices.items() if k == key}
+        own = {n: self.setup.capacities.get(n, 1.0) for n in self._office_nodes.get(key, ())}
         return Group(key, own, self.setup.budget)
 
     def out(self, key: str) -> set[int]:
         """Whom we take to be out, whatever the reason but a place."""
-        own = (n for n, office in self.setup.offices.items() if office == key)
+        own = self._office_nodes.get(key, ())
         out = set(self.world.out.get(key, ())) | {n for n in own if self.hearing.away(n, self._now)}
         return out | self._cooling(key)
 
@@ -261,10 +267,22 @@
             self._heard_halt(said, now)
         elif isinstance(said, Learn):
             if self.register.learn(said):
+                if said.rumor:
+                    self._spread(said)
                 self._news()
         else:
             self.register.heard(sender, said, now)
 
+    def _spread(self, said: Learn) -> None:
+        """Rumor mongering (Demers et al., 1987, section 1.4): whoever learns a rumor passes it on once.
+
+        All know it within a few hops. Whom that misses learns it by beats, which are the anti-entropy; what
+        those bring is no rumor, or each start of a process would flood the fleet with all that is known.
+        """
+        few = len(self._peers) <= RUMOR_PEERS
+        for peer in self._peers if few else self._random.sample(self._peers, RUMOR_PEERS):
+            self._send(peer, said)
+
     def _heard_halt(self, said: Halted, now: int) -> None:
         """Nobody here starts to go out for that release from now on; told on at once, and made to last."""
         release = self.release
--- a/olivecourse/rollout/register.py
+++ b/olivecourse/rollout/register.py
@@ -73,11 +73,12 @@
 
 
 class Learn(msgspec.Struct, frozen=True, array_like=True):
-    """Chosen by a majority."""
+    """Chosen by a majority. `rumor`: to be passed on by whoever did not know it yet."""
 
     key: str
     ballot: Ballot
     value: bytes
+    rumor: bool = False
 
 
 class Recall(msgspec.Struct, frozen=True, array_like=True):
@@ -133,6 +134,7 @@
         self.me, self.members, self.slots = me, tuple(members), dict(slots)
         self._judge, self._fence, self._out, self._random = judge, fence, out, random
         self.votes = votes
+        self.on_chosen: Callable[[Learn], None] = lambda said: None  # called with each value chosen here
         self.step = Step()
         self.learned: dict[str, tuple[Ballot, bytes]] = {}
         self.rounds: dict[str, Round] = {}
@@ -204,10 +206,12 @@
         if len(game.accepted) < self.majority:
             return
         del self.rounds[said.key]
-        self.learn(Learn(said.key, game.ballot, game.value))
+        chosen = Learn(said.key, game.ballot, game.value, rumor=True)
+        self.learn(chosen)
         for member in self.members:
             if member != self.me:
-                self._send(member, Learn(said.key, game.ballot, game.value))
+                self._send(member, chosen)
+        self.on_chosen(chosen)
         for (handle, _, _), answer in zip(game.asks, game.answers, strict=True):
             self.step.done.append((handle, answer))
         self._start(said.key, now)
--- a/olivecourse/rollout/releases.py
+++ b/olivecourse/rollout/releases.py
@@ -11,6 +11,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from enum import IntEnum
+from functools import lru_cache
 from hashlib import blake2b
 
 import msgspec
@@ -175,31 +176,41 @@
 # Who goes when -----------------------------------------------------------------------------------------
 
 
-def order(plan: Plan, gateways: Sequence[int]) -> list[int]:
+def order(version: str, gateways: Sequence[int]) -> list[int]:
     """The same everywhere, another for each version, so that it is not always the same who go first."""
     def place(item: int) -> bytes:
-        return blake2b(f"{plan.version}/{item}".encode(), digest_size=8).digest()
+        return blake2b(f"{version}/{item}".encode(), digest_size=8).digest()
     return sorted(gateways, key=place)
 
 
+@lru_cache(maxsize=2)  # one release is on at a time, and it is looked at many times a second
+def waves(version: str, shares: tuple[int, ...], gateways: tuple[int, ...]) -> Mapping[int, int]:
+    """In which wave each gateway goes, by growing shares in percent; the first wave holds one at least."""
+    ends = [max(len(gateways) * share // 100, 1) for share in shares]
+    found, number = dict[int, int](), 0
+    for rank, item in enumerate(order(version, gateways)):
+        while rank >= ends[number] and number < len(ends) - 1:
+            number += 1
+        found[item] = number
+    return found
+
+
 def wave_of(plan: Plan, gateways: Sequence[int], item: int) -> int:
-    """In which wave a gateway goes; the first wave holds one at least."""
-    rank = order(plan, gateways).index(item)
-    for number, share in enumerate(plan.waves):
-        if rank < max(len(gateways) * share // 100, 1):
-            return number
-    return len(plan.waves) - 1
+    """In which wave a gateway goes. Raises KeyError for one that is not of the fleet."""
+    return waves(plan.version, tuple(plan.waves), tuple(gateways))[item]
 
 
 def may_go(release: Release, gateways: Sequence[int], item: int, version: str) -> bool:
     """Whether this gateway is to ask for a place now: it has another version than is wanted, and its wave is
     on. On the way back those that went last go first, each as soon as the budget lets it."""
-    if version == release.version or item not in gateways:
+    if version == release.version or release.state not in (State.RUNNING, State.ROLLING_BACK):
+        return False
+    wave = waves(release.plan.version, tuple(release.plan.waves), tuple(gateways)).get(item)
+    if wave is None:
         return False
     if release.state is State.ROLLING_BACK:
         return version == release.plan.version
-    return (release.state is State.RUNNING and version == release.plan.before
-            and wave_of(release.plan, gateways, item) <= release.wave)
+    return version == release.plan.before and wave <= release.wave
 
 
 @dataclass(frozen=True)
@@ -216,4 +227,5 @@
         return item in seen and seen[item].version == release.version and seen[item].warm
     if release.state is State.ROLLING_BACK:
         return all(map(there, gateways))
-    return all(there(g) for g in gateways if wave_of(release.plan, gateways, g) <= release.wave)
+    wave = waves(release.plan.version, tuple(release.plan.waves), tuple(gateways))
+    return all(there(g) for g in gateways if wave[g] <= release.wave)
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -7,6 +7,7 @@
 from random import Random
 from types import SimpleNamespace
 
+import msgspec
 import pytest
 from fleetsim import GATES, STORES, Fleet, S
 from hypothesis import given, settings
@@ -18,13 +19,14 @@
 from olivecourse.config.sections import BadSection
 from olivecourse.modelcheck.explorer import explore
 from olivecourse.modelcheck.places import FAULTS, NARROW, Model, hunt
+from olivecourse.rollout import releases
 from olivecourse.rollout.agent import Stage as At
 from olivecourse.rollout.budgets import Budget, Group
 from olivecourse.rollout.gates import Counts, Gate
-from olivecourse.rollout.member import Halted, Tell
+from olivecourse.rollout.member import RUMOR_PEERS, Halted, Member, Setup, Tell
 from olivecourse.rollout.part import LEARN_NS, Answered, RolloutPart
 from olivecourse.rollout.places import Answer, Said, Why
-from olivecourse.rollout.register import Ballot, Recall, Register, Slot
+from olivecourse.rollout.register import Ballot, Learn, Recall, Register, Slot
 from olivecourse.rollout.releases import Heard, Plan, State, Word, flaws
 from olivecourse.rollout.section import read_rollout
 from olivecourse.rollout.store import Disk, Held, Torn
@@ -526,3 +528,61 @@
     assert json.loads(RolloutPart._ticket(part, "4").body)["ok"]
     part.member.release.term, clock.now = 1, lambda: 4 * S + LEARN_NS
     assert json.loads(RolloutPart._ticket(part, "4").body)["ok"]
+
+
+def lone_member(nodes=40):
+    setup = Setup(30, tuple(range(nodes)), (0, 1, 2), {n: f"gateways:{n // 8}" for n in range(nodes)},
+                  dict.fromkeys(range(nodes), 1.0), Budget(2, 0.5))
+    return Member(setup, 1, "v1", {}, Random(1), 1_700_000_000 * S, votes=False)
+
+
+def test_a_rumor_is_passed_on_once_and_what_a_beat_brings_is_not():
+    """Else half of 7,500 gateways hear of a drain after 47 s, with a beat; or each start floods the fleet."""
+    member, now = lone_member(), 1_700_000_000 * S
+    known, news = (Learn("stores:praia", Ballot(count, 0), b"", rumor=True) for count in (1, 2))
+    member.heard(0, msgspec.structs.replace(known, rumor=False), now)
+    assert member.register.step.sends == []
+    for sender in (1, 5, 9):
+        member.heard(sender, news, now)
+        member.heard(sender, known, now)
+    told = [target for target, message in member.register.step.sends if message == news]
+    assert len(told) == len(set(told)) == len(member.register.step.sends) == RUMOR_PEERS and 30 not in told
+
+
+def test_a_drain_is_known_to_a_fleet_of_a_hundred_well_before_its_beats():
+    fleet = Fleet(3, nodes=100, members=5, stores=40, loss=0.05)
+    assert fleet.nodes[0].member.hearing.period_ns > 1.2 * S
+    fleet.run(4)
+    drain(fleet, 1, 101)
+
+    def who_knows():
+        return sum(101 in {place.item for place in node.member.table(STORES).places} for node in fleet.nodes)
+
+    assert fleet.run(1, lambda: who_knows() >= 1)
+    assert fleet.run(0.3, lambda: who_knows() == 100), who_knows()
+
+
+def test_an_old_form_of_a_learned_value_is_read_as_no_rumor():
+    """A gateway of the version before sends three fields."""
+    said = msgspec.msgpack.decode(msgspec.msgpack.encode(["stores:praia", [1, 0], b"x"]), type=Learn)
+    assert said == Learn("stores:praia", Ballot(1, 0), b"x") and not said.rumor
+
+
+@pytest.mark.parametrize("count", [1, 3, 7, 200])
+@pytest.mark.parametrize("shares", [(100,), (5, 30, 100), (1, 2, 50, 100)])
+def test_waves_are_the_first_that_reach_the_rank_of_a_gateway(count, shares):
+    gateways, plan = tuple(range(50, 50 + count)), Plan("v2", "v1", shares, 0.5, False)
+    for rank, item in enumerate(releases.order("v2", gateways)):
+        reached = [n for n, share in enumerate(shares) if rank < max(count * share // 100, 1)]
+        assert releases.wave_of(plan, gateways, item) == min(reached, default=len(shares) - 1)
+
+
+def test_the_waves_of_a_release_are_worked_out_once_for_all_looks(monkeypatch):
+    calls = []
+    monkeypatch.setattr(releases, "order", lambda version, gateways: calls.append(version) or list(gateways))
+    release = releases.Release(3, State.RUNNING, plan=Plan("v9", "v8", (1, 100), 0.5, False))
+    fleet = tuple(range(500, 1_500))
+    for item in fleet:
+        releases.may_go(release, fleet, item, "v8")
+    releases.through(release, fleet, {})
+    assert calls == ["v9"]
