Measure the module, lists, messages and connections over the target's sizes in one process

Processor time and tracemalloc only. What follows by arithmetic from the target is in the result too, so that the page can name a key for it.

--- /dev/null
+++ b/benchmarks/_capacity_page.py
@@ -0,0 +1,131 @@
+"""Writes the tables of `docs/CAPACITY.md` from the committed results.
+
+Run as `python -m benchmarks._capacity_page` once a result has changed.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+from benchmarks._capacity_rows import TABLES, Row
+from benchmarks._capacity_sources import Figure, load_results
+
+PAGE = Path(__file__).resolve().parent.parent / "docs" / "CAPACITY.md"
+COLUMNS = (
+    "what",
+    "unit",
+    "fixed + slope × size",
+    "points",
+    "at the target (95 %)",
+    "beyond measured",
+    "budget",
+    "verdict",
+    "carried by",
+    "source",
+)
+RANKED = 10  # rows in the table of what is nearest to its budget
+WITHIN, OVER, UNKNOWN, FREE = "within", "over", "not measured", "no budget"
+
+
+def verdict(figure: Figure | None, budget: float | None) -> str:
+    """By the upper end of the interval."""
+    if figure is None:
+        return UNKNOWN
+    if budget is None:
+        return FREE
+    return WITHIN if figure.high <= budget else OVER
+
+
+def share(figure: Figure | None, budget: float | None) -> float | None:
+    """The interval's upper end over the budget; None without either, or where nothing is allowed."""
+    return None if figure is None or not budget else figure.high / budget
+
+
+def cells(row: Row, results: Mapping[str, Any]) -> list[str]:
+    """A row's cells, in the order of COLUMNS."""
+    figure = row.figure(results)
+    part, judged = share(figure, row.budget), verdict(figure, row.budget)
+    return [
+        row.what,
+        row.unit,
+        _form(row, figure),
+        str(figure.points) if figure is not None and figure.points else "",
+        UNKNOWN if figure is None else _interval(figure),
+        "" if figure is None or not figure.beyond else f"{figure.beyond:.3g}",
+        "" if row.budget is None else number(row.budget),
+        judged if part is None else f"{judged}, {part:.2g} of it",
+        row.mechanism,
+        "; ".join(f"`{name}`" for name in row.source.names()),
+    ]
+
+
+def _form(row: Row, figure: Figure | None) -> str:
+    if figure is None or not figure.form:
+        return ""
+    return figure.form if row.times == 1.0 else f"({figure.form}) × {row.times:.4g}"
+
+
+def _interval(figure: Figure) -> str:
+    if figure.low == figure.high:
+        return number(figure.value)
+    return f"{number(figure.value)} ({number(figure.low)} to {number(figure.high)})"
+
+
+def number(value: float) -> str:
+    """Three digits, and whole numbers from a thousand on."""
+    return f"{value:,.0f}" if abs(value) >= 1000 else f"{value:.3g}"
+
+
+def render_table(rows: tuple[Row, ...], results: Mapping[str, Any]) -> str:
+    lines = ["| " + " | ".join(COLUMNS) + " |", "|" + " --- |" * len(COLUMNS)]
+    lines += ["| " + " | ".join(cells(row, results)) + " |" for row in rows]
+    return "\n".join(lines)
+
+
+def ranking(results: Mapping[str, Any]) -> str:
+    """The rows nearest to their budgets or most over them."""
+    found = [
+        (part, row, figure)
+        for rows in TABLES.values()
+        for row in rows
+        if (figure := row.figure(results)) is not None and (part := share(figure, row.budget)) is not None
+    ]
+    found.sort(key=lambda one: -one[0])
+    lines = ["| row | part of its budget | verdict | next mechanism |", "| --- | --- | --- | --- |"]
+    for part, row, figure in found[:RANKED]:
+        judged = verdict(figure, row.budget)
+        lines.append(f"| {row.what} | {part:.3g} | {judged} | {row.following or 'none needed'} |")
+    return "\n".join(lines)
+
+
+def missing(results: Mapping[str, Any]) -> str:
+    """What has no figure."""
+    found = [row for rows in TABLES.values() for row in rows if row.figure(results) is None]
+    return "\n".join(f"- {row.what}" for row in found) or "- nothing"
+
+
+def sections(results: Mapping[str, Any]) -> dict[str, str]:
+    """Each generated part of the page by its name."""
+    made = {name: render_table(rows, results) for name, rows in TABLES.items()}
+    return made | {"ranking": ranking(results), "missing": missing(results)}
+
+
+def written(page: str, results: Mapping[str, Any]) -> str:
+    """The page with all its generated parts made anew; raises KeyError for a part that is not known."""
+    made = sections(results)
+
+    def replaced(found: re.Match[str]) -> str:
+        return f"{found[1]}\n\n{made[found[2]]}\n\n{found[3]}"
+
+    return re.sub(r"(<!-- table (\S+) -->).*?(<!-- end -->)", replaced, page, flags=re.S)
+
+
+def main() -> None:
+    PAGE.write_text(written(PAGE.read_text("utf-8"), load_results()), "utf-8")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/_capacity_target.py
@@ -0,0 +1,80 @@
+"""The target's sizes, and what follows from them by arithmetic alone."""
+
+from __future__ import annotations
+
+from olivecourse.core import descriptors
+from olivecourse.core.descriptors import PER_STORE
+from olivecourse.net.stores import MOST_BODY
+from olivecourse.sizes import MOST as MOST_SIZES
+
+GATEWAYS, SITES, STORES, REGIONS, ZONES = 7500, 470, 1100, 23, 46
+REQUESTS_PER_S = 6.3e6
+BITS_PER_S = 38e12
+OBJECTS = 3.7e9
+PURGES_PER_S = 150.0
+CHANGES_PER_DAY = 11_000
+REPLACED_PER_DAY = 480
+HOUR_S, DAY_S = 3600, 86_400
+SETTLES_S = 6.0  # of the settings: how long a purge binds
+RETUNE_S = 5.0  # the counting interval of the Router's sketches, and between two looks at old purges
+PARENT_SHARE = 0.1  # of the stores: no page tells it
+ONE_CORE_PCT = 100.0
+SOCKETS = (512, 1024, 2048, 4096)
+DOORS = 1
+
+
+def arithmetic() -> dict[str, float]:
+    """Shares of the target's sums; each name has its unit."""
+    return {
+        "requests_s_gateway": REQUESTS_PER_S / GATEWAYS,
+        "requests_s_store": REQUESTS_PER_S / STORES,
+        "mbit_s_gateway": BITS_PER_S / GATEWAYS / 1e6,
+        "gbit_s_store": BITS_PER_S / STORES / 1e9,
+        "kb_request": BITS_PER_S / 8 / REQUESTS_PER_S / 1e3,
+        "bodies_request": BITS_PER_S / 8 / REQUESTS_PER_S / MOST_BODY,
+        "core_us_request": 1e6 * GATEWAYS / REQUESTS_PER_S,
+        "gateways_zone": round(GATEWAYS / ZONES),
+        "gateways_region": round(GATEWAYS / REGIONS),
+        "stores_zone": round(STORES / ZONES),
+        "gateways_site": GATEWAYS / SITES,
+        "objects_store": OBJECTS / STORES,
+        "known_sizes_share": MOST_SIZES / OBJECTS,
+        "changes_minute": CHANGES_PER_DAY / (DAY_S / 60),
+        "config_files_s": CHANGES_PER_DAY / DAY_S * GATEWAYS,
+        "seconds_between_replaced": DAY_S / REPLACED_PER_DAY,
+        "backlog_hour_purges": PURGES_PER_S * HOUR_S,
+        "purges_bind": PURGES_PER_S * (SETTLES_S + RETUNE_S),
+        "polls_s_unpaced": PURGES_PER_S * GATEWAYS,
+        "requests_counting_interval": REQUESTS_PER_S / GATEWAYS * RETUNE_S,
+        "store_connections_zone_one_each": round(GATEWAYS / ZONES),
+        "store_connections_zone_most": round(GATEWAYS / ZONES) * PER_STORE,
+        "store_connections_all_one_each": GATEWAYS,
+        "store_connections_all_most": GATEWAYS * PER_STORE,
+        "gateway_connections_zone_one_each": round(STORES / ZONES),
+        "gateway_connections_zone_most": round(STORES / ZONES) * PER_STORE,
+        "gateway_connections_all_one_each": STORES,
+        "least_sockets_zone_most": least_sockets(round(STORES / ZONES) * PER_STORE),
+        "least_sockets_all_one_each": least_sockets(STORES),
+    }
+
+
+def least_sockets(connections: int) -> int:
+    """The fewest descriptors of which a gateway with a door keeps so many for stores."""
+    sockets = 2 * connections
+    while descriptors.split(sockets, DOORS).stores < connections:
+        sockets += 1
+    return sockets
+
+
+def divided() -> dict[str, dict[str, int]]:
+    """How a gateway with a door divides its descriptors, by their number."""
+    found = {}
+    for sockets in SOCKETS:
+        room = descriptors.split(sockets, DOORS)
+        found[str(sockets)] = {
+            "stores": room.stores,
+            "per_store": room.per_store,
+            "clients": room.clients,
+            "total": room.total(DOORS),
+        }
+    return found
--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,210 @@
+"""What one process shows of the target's size: the module's decisions and sketches, lists, messages between
+forwarder and planner, connections, and what follows by arithmetic.
+
+Slopes are by least squares over repeated points (`_slopes`), all times are processor time of this process.
+The results are rows of `docs/CAPACITY.md`, whose tables `python -m benchmarks._capacity_page` writes.
+"""
+
+from __future__ import annotations
+
+import os
+import statistics
+import time
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from benchmarks import _capacity_memory as memory
+from benchmarks import _capacity_router as router
+from benchmarks import _capacity_target as target
+from benchmarks._slopes import fit, rounded
+from olivecourse import choice
+
+REPEATS = 3
+STORES = (70, 280, 560, 1120)
+SHORT_STORES = (16, 64, 128, 256)
+OBJECTS = (10_000, 40_000, 160_000, 1_000_000)
+SHORT_OBJECTS = (1_000, 4_000, 8_000, 16_000)
+OPEN = (256, 1_024, 2_048, 4_096)
+SHORT_OPEN = (32, 128, 256, 512)
+PURGES = (100, 400, 800, 1_600)
+BATCHES = (1, 4, 16, 64)
+CONNECTIONS = (16, 64, 128, 256)
+MOST_OPEN = 4_096  # requests that a gateway takes at once
+STORE_CONNECTIONS = 462  # of a gateway with 1,024 descriptors and a door
+ARRIVALS = (1_000, 4_000, 8_000, 16_000)  # in a counting interval
+Measure = Callable[[int, int], float]  # of a size and a seed
+
+
+class Results:
+    """Slopes with their points, printed as they are found."""
+
+    def __init__(self, seeds: Sequence[int]) -> None:
+        self.slopes: dict[str, dict[str, Any]] = {}
+        self._seeds = seeds
+
+    def measure(self, name: str, sizes: Sequence[int], goal: float, call: Measure) -> None:
+        self.add(name, [(float(size), call(size, seed)) for size in sizes for seed in self._seeds], goal)
+
+    def add(self, name: str, points: list[tuple[float, float]], goal: float) -> None:
+        """`goal`: the size for which the cost is worked out."""
+        found = fit(points)
+        estimate = found.at(goal)
+        self.slopes[name] = {
+            **found.row(),
+            "target_size": goal,
+            "target": rounded(estimate.value),
+            "target_low": rounded(estimate.low),
+            "target_high": rounded(estimate.high),
+            "beyond": rounded(estimate.beyond, 3),
+            "measured": [[size, rounded(cost)] for size, cost in points],
+        }
+        row = self.slopes[name]
+        interval = f"{row['target_low']:g} to {row['target_high']:g}"
+        print(
+            f"{name}: {row['fixed']:g} + {row['slope']:g} x size, line {row['is_line']}, exponent "
+            f"{row['exponent']}, at {goal:g}: {row['target']:g} ({interval})"
+        )
+
+
+def measure_router(results: Results, sizes: Sequence[int], count: int) -> None:
+    """Over stores, in three shapes: per request, per watch, per change of the list, and state."""
+    for shape in router.SHAPES:
+        measures: tuple[tuple[str, Measure], ...] = (
+            ("request_us", lambda size, seed, shape=shape: router.request_us(shape, size, seed, count)),
+            ("tick_us", lambda size, seed, shape=shape: router.tick_us(shape, size, seed, count)),
+            ("change_ms", lambda size, seed, shape=shape: router.change_ms(shape, size, seed, 8)),
+            ("state_kb", lambda size, seed, shape=shape: router.router_kb(shape, size, seed)),
+        )
+        for cost, measure in measures:
+            results.measure(f"router_{cost}_{shape.name}", sizes, target.STORES, measure)
+    results.measure(
+        "router_whole_list_ms", sizes, target.STORES, lambda size, seed: router.whole_list_ms(size, seed, 5)
+    )
+
+
+def measure_open(results: Results, sizes: Sequence[int], count: int) -> None:
+    results.measure("router_open_request_kb", sizes, MOST_OPEN, router.open_requests_kb)
+    results.measure(
+        "router_tick_open_us", sizes, MOST_OPEN, lambda size, seed: router.open_tick_us(size, seed, count)
+    )
+    bound = target.PURGES_PER_S * (target.SETTLES_S + target.RETUNE_S)
+    results.measure("router_purge_kb", PURGES, bound, router.purges_kb)
+
+
+def measure_directory(results: Results, sizes: Sequence[int]) -> None:
+    results.measure("list_kb", sizes, target.STORES, lambda size, seed: memory.list_kb(size))
+    results.measure("directory_kb", sizes, target.STORES, memory.directory_kb)
+    results.measure(
+        "directory_whole_list_ms",
+        sizes,
+        target.STORES,
+        lambda size, seed: memory.directory_ms(size, seed, 3),
+    )
+
+
+def measure_sketches(results: Results, sizes: Sequence[int], seeds: Sequence[int]) -> dict[str, Any]:
+    """Over the requests of a counting interval, each of another object, which no number of objects exceeds;
+    and as they are drawn from so many objects, medians."""
+    goal = target.REQUESTS_PER_S / target.GATEWAYS * target.RETUNE_S
+    points = dict[str, list[tuple[float, float]]]()
+    for size in ARRIVALS:
+        for seed in seeds:
+            for name, value in memory.sketch_row(memory.all_distinct(size, seed)).items():
+                points.setdefault(name, []).append((float(size), value))
+    for name, found in points.items():
+        results.add(f"sketch_{name}", found, goal)
+    by_objects = {}
+    for size in sizes:
+        rows = [memory.sketch_row(memory.drawn(size, memory.ARRIVALS, seed)) for seed in seeds]
+        by_objects[str(size)] = {
+            name: rounded(statistics.median(row[name] for row in rows)) for name in rows[0]
+        }
+        print(f"sketches, {memory.ARRIVALS} requests of {size} objects: {by_objects[str(size)]}")
+    return by_objects
+
+
+def measure_exchange(results: Results, count: int, seeds: Sequence[int]) -> None:
+    """A forwarder's and a planner's work for a batch, over the requests in it."""
+    points = dict[str, list[tuple[float, float]]]()
+    for size in BATCHES:
+        for seed in seeds:
+            found = router.exchange(size, seed, max(count // size, 4))
+            for name in found.__dataclass_fields__:
+                points.setdefault(name, []).append((float(size), getattr(found, name)))
+    for name, values in points.items():
+        results.add(f"planner_batch_{name}", values, 1)
+
+
+def measure_connections(results: Results, sizes: Sequence[int], seeds: Sequence[int]) -> None:
+    points = dict[str, list[tuple[float, float]]]()
+    for size in sizes:
+        for seed in seeds:
+            for name, value in memory.connections_row(size, seed, 50).items():
+                points.setdefault(name, []).append((float(size), value))
+    for name, found in points.items():
+        results.add(f"store_connection_{name}", found, STORE_CONNECTIONS)
+
+
+def shares(results: Results) -> dict[str, float]:
+    """Percent of one core at the target's requests and changes, from the upper ends of intervals."""
+    a_second = target.REQUESTS_PER_S / target.GATEWAYS
+    changes_s = target.CHANGES_PER_DAY / target.DAY_S
+
+    def high(name: str) -> float:
+        return float(results.slopes[name]["target_high"])
+
+    found = {}
+    for shape in router.SHAPES:
+        found[f"request_pct_{shape.name}"] = a_second * high(f"router_request_us_{shape.name}") / 1e4
+        found[f"tick_pct_{shape.name}"] = 10 * high(f"router_tick_us_{shape.name}") / 1e4
+        found[f"change_pct_{shape.name}"] = changes_s * high(f"router_change_ms_{shape.name}") / 10
+    found["tick_open_pct"] = 10 * high("router_tick_open_us") / 1e4
+    found["sweep_pct"] = 4 * high("store_connection_sweep_us") / 1e4
+    found["forwarder_pct"] = a_second * high("planner_batch_forwarder_us") / 1e4
+    found["planner_pct"] = a_second * high("planner_batch_planner_us") / 1e4
+    found["planner_kb_s"] = a_second * (
+        high("planner_batch_kb_to_planner") + high("planner_batch_kb_to_forwarder")
+    )
+    return {name: rounded(value) for name, value in found.items()}
+
+
+def run(short: bool, seed: int, trials: int) -> dict[str, Any]:
+    """Under 20 s in the short form. `trials`: repeats, three at least."""
+    began = time.process_time()
+    seeds = [seed + number for number in range(max(trials, REPEATS))]
+    results, count = Results(seeds), 40 if short else 400
+    stores = SHORT_STORES if short else STORES
+    measure_router(results, stores, count)
+    measure_open(results, SHORT_OPEN if short else OPEN, 5 if short else 20)
+    measure_directory(results, stores)
+    by_objects = measure_sketches(results, SHORT_OBJECTS if short else OBJECTS, seeds)
+    measure_exchange(results, count, seeds)
+    measure_connections(results, CONNECTIONS, seeds)
+    return {
+        "benchmark": "capacity",
+        "seed": seed,
+        "short": short,
+        "repeats": len(seeds),
+        "compiled": not str(choice.__file__).endswith(".py"),
+        "load_average": [round(load, 1) for load in os.getloadavg()],
+        "cpu_s": rounded(time.process_time() - began),
+        "counting_interval_s": memory.counting_interval_s(),
+        "sketch_by_objects": by_objects,
+        "descriptors": target.divided(),
+        "arithmetic": {name: rounded(value, 6) for name, value in target.arithmetic().items()},
+        "shares": shares(results),
+        "request_median_us": {
+            shape.name: {
+                str(size): rounded(
+                    statistics.median(
+                        cost
+                        for at, cost in results.slopes[f"router_request_us_{shape.name}"]["measured"]
+                        if at == size
+                    )
+                )
+                for size in stores
+            }
+            for shape in router.SHAPES
+        },
+        "slopes": results.slopes,
+    }
