--- a/benchmarks/_capacity_router.py
+++ b/benchmarks/_capacity_router.py
@@ -29,6 +29,7 @@
 NAMES = 20_000  # objects that requests ask for
 STEP_NS = 1_190_000  # between two requests: 840 a second
 TICK_NS = 100 * MS
+LATE_NS = 2 * S  # beyond the aim of every request
 WEIGHT = 1e5  # of a store: room for all of a run's requests
 Clock = Callable[[], float]
 
@@ -179,9 +180,18 @@
 
 
 def open_tick_us(open_: int, seed: int, count: int) -> float:
+    """The same with so many requests open, none of them late."""
     driver = Driver(members(SPREAD, 1100), seed)
     driver.leave_open(open_)
-    return mean_us(driver.tick, count)
+    return mean_us(lambda: driver.router.handle(w.TimerFired(0), driver.now), count)
+
+
+def silent_tick_us(open_: int, seed: int) -> float:
+    """The one watch at which all of them are late at once and their stores have said nothing."""
+    driver = Driver(members(SPREAD, 1100), seed)
+    driver.leave_open(open_)
+    driver.now += LATE_NS
+    return mean_us(driver.tick, 1)
 
 
 def change_ms(shape: Shape, stores: int, seed: int, count: int) -> float:
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -87,6 +87,7 @@
     results.measure(
         "router_tick_open_us", sizes, MOST_OPEN, lambda size, seed: router.open_tick_us(size, seed, count)
     )
+    results.measure("router_tick_silent_us", sizes, MOST_OPEN, router.silent_tick_us)
     bound = target.PURGES_PER_S * (target.SETTLES_S + target.RETUNE_S)
     results.measure("router_purge_kb", PURGES, bound, router.purges_kb)
 
@@ -190,6 +191,7 @@
         "cpu_s": rounded(time.process_time() - began),
         "counting_interval_s": memory.counting_interval_s(),
         "sketch_by_objects": by_objects,
+        "sketch_kb_most": max(cost for _, cost in results.slopes["sketch_kb"]["measured"]),
         "descriptors": target.divided(),
         "arithmetic": {name: rounded(value, 6) for name, value in target.arithmetic().items()},
         "shares": shares(results),
