Measure a real gateway's work for requests over the bytes of an answer

A real gateway on loopback, stand-in stores and clients as threads; only the gateway's processor time counts.

--- /dev/null
+++ b/benchmarks/_capacity_traffic.py
@@ -0,0 +1,185 @@
+"""The request path of a real gateway: its processor time for a request, over the bytes of the answer.
+
+Clients on loopback ask one request after the other on a few connections; stand-in stores have every object and
+answer at once. Both are threads of this process, and only the gateway's own processor time counts.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import socket
+import threading
+import time
+from pathlib import Path
+from random import Random
+
+from benchmarks._program import ROOT, Gateway
+from olivecourse.emulator.settings import settings
+from olivecourse.fronts import codec
+
+CLASSES = [("fichiers", 2500, "idempotent", False)]
+LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 384}
+CONNECTIONS = 8  # of clients; on each one request at a time
+STORES = 4
+OBJECTS = 400
+PATIENCE_S = 20.0
+SUCCESS = 2  # the kind of a reply frame
+WARM_S = 0.3
+
+
+class Stores:
+    """All stores at one address; each connection has a thread that answers with `size` bytes."""
+
+    def __init__(self) -> None:
+        self.size = 0
+        self._listening = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self.address = "{}:{}".format(*self._listening.getsockname())
+        self._open: list[socket.socket] = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                conn, _ = self._listening.accept()
+                conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                self._open.append(conn)
+                threading.Thread(target=self._serve, args=(conn,), daemon=True).start()
+
+    def _serve(self, conn: socket.socket) -> None:
+        with contextlib.suppress(OSError, ValueError), conn.makefile("rb") as lines:
+            for line in lines:
+                words = line.decode("ascii").split()
+                if words and words[0] == "fetch":
+                    lines.read(int(words[3]) + 2)
+                    stamp = time.time_ns() // 1_000_000
+                    head = f"{words[1]} data version=v1,stamp={stamp},n=HIT {self.size}\r\n"
+                    conn.sendall(head.encode() + bytes(self.size) + b"\r\n")
+
+    def close(self) -> None:
+        self._listening.close()
+        for conn in self._open:
+            conn.close()
+
+
+class Client(threading.Thread):
+    """One connection, one request at a time until `stop`; counts what was served."""
+
+    def __init__(self, port: int, kb: float, seed: str) -> None:
+        """`seed` of the request ids too: a gateway takes none twice."""
+        super().__init__(daemon=True)
+        self._random, self._kb = Random(seed), kb
+        self._sock = socket.create_connection(("127.0.0.1", port), timeout=PATIENCE_S)
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.served = self.others = 0
+        self.running = True
+
+    def run(self) -> None:
+        number = 0
+        with contextlib.suppress(OSError), self._sock.makefile("rb") as answers:
+            while self.running:
+                number += 1
+                self._sock.sendall(self._frame(number))
+                body = answers.read(int.from_bytes(answers.read(4), "big"))
+                _, kind, _, result = codec.decode(body, {"serve": codec.Result})
+                if kind == SUCCESS and getattr(result, "success", None) is not None:
+                    self.served += 1
+                else:
+                    self.others += 1
+
+    def _frame(self, number: int) -> bytes:
+        name = self._random.randrange(OBJECTS)
+        fields = {
+            "c": "fichiers",
+            "i": f"{self._random.getrandbits(64):016x}",
+            "o": f"{name:016x}",
+            "d": "2500",
+            "n": "0",
+            "m": f"{self._kb:.0f}",
+            "shard": str(name % 256),
+        }
+        return codec.encode("serve", 1, number, codec.ServeArgs(fields=fields, body=b""))
+
+    def stop(self) -> None:
+        self.running = False
+        self.join(PATIENCE_S)
+        self._sock.close()
+
+
+def compiled() -> bool:
+    """Whether the gateway runs the compiled copy, as far as one is there."""
+    return (ROOT / ".native" / "stamp").exists()
+
+
+def processor_s(pid: int) -> float:
+    """User and system time of a process."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+class Traffic:
+    """A gateway with its stores; each row is measured on the same process."""
+
+    def __init__(self, folder: Path) -> None:
+        self.stores = Stores()
+        members = [
+            {
+                "id": f"{kind}-{number}",
+                "host_port": self.stores.address,
+                "flavor": kind,
+                "cell": 0,
+                "locality": "praia" if kind == "petit" else "hub-nord",
+                "phase": "Ready",
+                "size": 1000,
+                "up_since_ms": 0,
+            }
+            for kind, count in (("petit", STORES), ("parent", 1), ("origin", 1))
+            for number in range(count)
+        ]
+        known = {
+            "rev": 1,
+            "notices": [{"rev": 1, "pool": {"revision": 1, "complete": True, "members": members}}],
+        }
+        config = folder / "config.json"
+        config.write_text(
+            json.dumps(
+                {
+                    "name": "n0",
+                    "listen": "127.0.0.1:0",
+                    "seed": "0f",
+                    "limits": LIMITS,
+                    "settings": settings(CLASSES, client_kb_per_s=1e6),
+                    "known": known,
+                }
+            )
+        )
+        self.gateway = Gateway(None, "--config", str(config), native=True, root=ROOT)
+        self.port = self.gateway.port()
+
+    def row(self, kb: float, seconds: float, seed: int) -> dict[str, float]:
+        """Processor time of a served request, and how many were served a second.
+
+        Raises RuntimeError where a request was not served.
+        """
+        self.stores.size = round(kb * 1e3)
+        clients = [Client(self.port, kb, f"{seed}/{kb}/{number}") for number in range(CONNECTIONS)]
+        for client in clients:
+            client.start()
+        time.sleep(WARM_S)
+        before, began = self._spent(clients), time.monotonic()
+        time.sleep(seconds)
+        after, took = self._spent(clients), time.monotonic() - began
+        for client in clients:
+            client.stop()
+        served = after[1] - before[1]
+        if not served or any(client.others for client in clients):
+            raise RuntimeError(f"{served} served, others {[client.others for client in clients]}")
+        return {"us": (after[0] - before[0]) / served * 1e6, "per_s": served / took}
+
+    def _spent(self, clients: list[Client]) -> tuple[float, int]:
+        return processor_s(self.gateway.process.pid), sum(client.served for client in clients)
+
+    def close(self) -> None:
+        self.gateway.kill()
+        self.stores.close()
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -9,13 +9,16 @@
 
 import os
 import statistics
+import tempfile
 import time
 from collections.abc import Callable, Sequence
+from pathlib import Path
 from typing import Any
 
 from benchmarks import _capacity_memory as memory
 from benchmarks import _capacity_router as router
 from benchmarks import _capacity_target as target
+from benchmarks import _capacity_traffic as traffic
 from benchmarks._slopes import fit, rounded
 from olivecourse import choice
 
@@ -29,6 +32,8 @@
 PURGES = (100, 400, 800, 1_600)
 BATCHES = (1, 4, 16, 64)
 CONNECTIONS = (16, 64, 128, 256)
+ANSWER_KB = (15, 60, 120, 240)  # the last one is the most that a gateway takes of a store at once
+TRAFFIC_S, SHORT_TRAFFIC_S = 2.0, 0.2
 MOST_OPEN = 4_096  # requests that a gateway takes at once
 STORE_CONNECTIONS = 462  # of a gateway with 1,024 descriptors and a door
 ARRIVALS = (1_000, 4_000, 8_000, 16_000)  # in a counting interval
@@ -146,6 +151,30 @@
         results.add(f"store_connection_{name}", found, STORE_CONNECTIONS)
 
 
+def measure_traffic(results: Results, seconds: float, seeds: Sequence[int]) -> dict[str, float]:
+    """The request path of a real gateway over the bytes of an answer, and what that means for the target."""
+    points, requests = list[tuple[float, float]](), dict[int, list[float]]()
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = traffic.Traffic(Path(folder))
+        try:
+            for size in ANSWER_KB:
+                for seed in seeds:
+                    found = fleet.row(size, seconds, seed)
+                    points.append((float(size), found["us"]))
+                    requests.setdefault(size, []).append(found["per_s"])
+        finally:
+            fleet.close()
+    told = target.arithmetic()
+    results.add("traffic_request_us", points, told["kb_request"])
+    largest = ANSWER_KB[-1]
+    most_us = max(us for size, us in points if size == largest)
+    return {
+        "mbit_s_core": rounded(largest * 8e3 / most_us),
+        "pct_in_parts": rounded(told["requests_s_gateway"] * told["bodies_request"] * most_us / 1e4),
+        **{f"requests_s_{size}_kb": rounded(statistics.median(found)) for size, found in requests.items()},
+    }
+
+
 def shares(results: Results) -> dict[str, float]:
     """Percent of one core at the target's requests and changes, from the upper ends of intervals."""
     a_second = target.REQUESTS_PER_S / target.GATEWAYS
@@ -181,6 +210,7 @@
     by_objects = measure_sketches(results, SHORT_OBJECTS if short else OBJECTS, seeds)
     measure_exchange(results, count, seeds)
     measure_connections(results, CONNECTIONS, seeds)
+    passed = measure_traffic(results, SHORT_TRAFFIC_S if short else TRAFFIC_S, seeds)
     return {
         "benchmark": "capacity",
         "seed": seed,
@@ -192,6 +222,8 @@
         "counting_interval_s": memory.counting_interval_s(),
         "sketch_by_objects": by_objects,
         "sketch_kb_most": max(cost for _, cost in results.slopes["sketch_kb"]["measured"]),
+        "traffic": passed,
+        "traffic_compiled": traffic.compiled(),
         "descriptors": target.divided(),
         "arithmetic": {name: rounded(value, 6) for name, value in target.arithmetic().items()},
         "shares": shares(results),
