Tell in the capacity result how fast the machine was during the run

Cause: with other work on the machine (load 6.6) all processor times of one run were twice those of another (load 2 to 3). One hash's processor time at the beginning, after the slopes and at the end stands in the result, so that two runs can be compared.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -22,6 +22,7 @@
 from benchmarks import _capacity_traffic as traffic
 from benchmarks._slopes import fit, rounded
 from olivecourse import choice
+from olivecourse.sketch import hash64
 
 REPEATS = 3
 STORES = (70, 280, 560, 1120)
@@ -34,6 +35,7 @@
 BATCHES = (1, 4, 16, 64)
 CONNECTIONS = (16, 64, 128, 256)
 ANSWER_KB = (15, 60, 120, 240)  # the last one is the most that a gateway takes of a store at once
+REFERENCE_CALLS = 100_000
 TRAFFIC_S, SHORT_TRAFFIC_S = 2.0, 0.2
 GC_THRESHOLDS = (50_000, 20, 100)  # as `Gateway.run` sets them
 MOST_OPEN = 4_096  # requests that a gateway takes at once
@@ -213,8 +215,13 @@
         gc.set_threshold(*before)
 
 
+def reference_us() -> float:
+    """Processor time of one hash of a name: how fast the machine is right now, with what else runs on it."""
+    return rounded(router.mean_us(lambda: hash64("reference"), REFERENCE_CALLS))
+
+
 def _run(short: bool, seed: int, trials: int) -> dict[str, Any]:
-    began = time.process_time()
+    began, references = time.process_time(), [reference_us()]
     seeds = [seed + number for number in range(max(trials, REPEATS))]
     results, count = Results(seeds), 40 if short else 400
     stores = SHORT_STORES if short else STORES
@@ -224,6 +231,7 @@
     by_objects = measure_sketches(results, SHORT_OBJECTS if short else OBJECTS, seeds)
     measure_exchange(results, count, seeds)
     measure_connections(results, CONNECTIONS, seeds)
+    references.append(reference_us())
     passed = measure_traffic(results, SHORT_TRAFFIC_S if short else TRAFFIC_S, seeds)
     return {
         "benchmark": "capacity",
@@ -231,6 +239,7 @@
         "short": short,
         "repeats": len(seeds),
         "compiled": not str(choice.__file__).endswith(".py"),
+        "reference_us": [*references, reference_us()],
         "load_average": [round(load, 1) for load in os.getloadavg()],
         "cpu_s": rounded(time.process_time() - began),
         "counting_interval_s": memory.counting_interval_s(),
