--- a/tests/test_library.py
+++ b/tests/test_library.py
@@ -46,7 +46,10 @@
 FORMATTED = (
     "olivecourse/config", "olivecourse/discovery", "olivecourse/net/discovery_client.py", "olivecourse/relay",
     "benchmarks/_slopes.py", "benchmarks/_virtual_agreement.py", "benchmarks/_virtual_ramp.py",
-    "benchmarks/scale_virtual.py", "tests/test_relay_decisions.py", "tests/test_scale_virtual.py")
+    "benchmarks/scale_virtual.py", "tests/test_relay_decisions.py", "tests/test_scale_virtual.py",
+    "benchmarks/capacity.py", "benchmarks/_capacity_memory.py", "benchmarks/_capacity_page.py",
+    "benchmarks/_capacity_router.py", "benchmarks/_capacity_rows.py", "benchmarks/_capacity_sources.py",
+    "benchmarks/_capacity_target.py", "benchmarks/_capacity_traffic.py")
 
 
 def test_renamed_and_new_files_are_formatted():
