--- a/benchmarks/_capacity_rows.py
+++ b/benchmarks/_capacity_rows.py
@@ -37,6 +37,7 @@
 PCT_OF_MS_S = 0.1  # of a core, for each ms a second
 PCT_OF_REQUEST_US = REQUESTS_A_GATEWAY / 1e4  # of a core, for each us a request
 MB_OF_KB = 1e-3
+TICKS_PER_S, LOOKS_PER_S = 50.0, 10.0  # of the agreement at a gateway: every 20 ms, every 100 ms
 
 RELAYS = "relays: one poll upstream for many, one encoding"
 PACING = "paced polls"
@@ -44,6 +45,7 @@
 CANDIDATES = "candidates of a request kept by zone and object, not all parents looked at for each"
 NO_POLLS = "no polls of voting members by those who never vote"
 SPREAD = "changes of the agreement carried by relays, not by beats"
+RELEASE_ORDER = "the fleet's order in a release worked out once for each release"
 SEVERAL = "several processes of one gateway"
 RING_REUSE = "a ring that keeps the points of stores that stayed"
 
@@ -153,12 +155,13 @@
         times=PCT_OF_MS_S,
     ),
     Row(
-        "control in all: discovery and purges with watch and timers, agreement",
+        "control in all: discovery and purges with watch and timers, agreement and its look at stores",
         "% of a core",
         Sum(
             (
                 (Value(SCALE, "parts.cost.real_whole_pct.median"), 1.0),
                 (_virtual("ordinary_cpu_ms"), PCT_OF_MS_S),
+                (_virtual("store_scan_cpu_ms"), LOOKS_PER_S * PCT_OF_MS_S),
             )
         ),
         CORE_PCT,
@@ -577,29 +580,55 @@
         "one table a site",
     ),
     Row(
-        "coordinator: one step of a release over 7,500",
-        "ms",
+        "a gateway that waits for its wave of a release, a look every 20 ms",
+        "% of a core",
         _virtual("release_tick_cpu_ms"),
-        AIM_TURN_MS,
-        "one pass over the fleet",
-        "counts kept by version",
+        CORE_PCT,
+        "the whole fleet hashed and sorted for each look",
+        RELEASE_ORDER,
+        TICKS_PER_S * PCT_OF_MS_S,
     ),
     Row(
-        "coordinator: one look at a release's gates over 7,500",
+        "coordinator: one look at a release's waves, every 250 ms",
         "ms",
         _virtual("release_steer_cpu_ms"),
         AIM_TURN_MS,
-        "one pass over the fleet for each gateway of a wave",
-        "counts kept by version",
+        "the whole fleet hashed and sorted for each gateway of it",
+        RELEASE_ORDER,
     ),
     Row(
-        "checksum of 469 tables, for each beat",
+        "one checksum of 469 tables, for each beat that is heard",
         "ms",
         _virtual("checksum_cpu_ms"),
         AIM_TURN_MS,
-        "all tables for each beat",
+        "all tables sorted and printed each time",
         "a checksum kept with each table",
     ),
+    Row(
+        "each gateway's look at 1,100 stores for their groups, every 100 ms",
+        "% of a core",
+        _virtual("store_scan_cpu_ms"),
+        CORE_PCT,
+        "all groups made anew without a change",
+        "groups made anew at a change of the list",
+        LOOKS_PER_S * PCT_OF_MS_S,
+    ),
+    Row(
+        "seconds between two beats of a gateway among 7,500, by arithmetic",
+        "s",
+        _sum("beat_period_s"),
+        None,
+        "0.2 s for each 16 gateways",
+        SPREAD,
+    ),
+    Row(
+        "seconds until a gateway's death is noticed by the agreement, by arithmetic",
+        "s",
+        _sum("death_noticed_s"),
+        None,
+        "eight beats missed",
+        SPREAD,
+    ),
 )
 
 ANSWERER = (
@@ -732,9 +761,9 @@
         "one connection from each gateway to what is far away",
     ),
     Row(
-        "cold ramp: windows in which a cold store got more than it bears",
+        "cold ramp: windows in which a cold store or parent of today's size got more than it bears",
         "count",
-        Value(VIRTUAL, "ramp_windows_over_limit"),
+        Value(VIRTUAL, "ramp_sweep_windows_over_limit"),
         0.0,
         "each gateway's credit is its part of what the store bears",
     ),
@@ -753,10 +782,18 @@
         "the same",
     ),
     Row(
-        "cold ramp before all gateways: windows over what a parent bears",
+        "cold ramp in a zone of the target: windows over what a parent bears at a window's beginning",
         "count",
         Value(VIRTUAL, "ramp_zone_windows_over_limit_parent"),
         0.0,
+        "credit by half of the budget of the moment, which grows within a window",
+        "credit by the share of a window ago",
+    ),
+    Row(
+        "cold ramp in a zone of the target: windows over what a parent bears at a window's end",
+        "count",
+        Value(VIRTUAL, "ramp_zone_windows_over_limit_at_end_parent"),
+        0.0,
         "the same",
     ),
     Row(
--- a/benchmarks/_capacity_target.py
+++ b/benchmarks/_capacity_target.py
@@ -5,6 +5,7 @@
 from olivecourse.core import descriptors
 from olivecourse.core.descriptors import PER_STORE
 from olivecourse.net.stores import MOST_BODY
+from olivecourse.rollout.hearing import DEAD_BEATS, Hearing
 from olivecourse.sizes import MOST as MOST_SIZES
 
 GATEWAYS, SITES, STORES, REGIONS, ZONES = 7500, 470, 1100, 23, 46
@@ -46,6 +47,8 @@
         "purges_bind": PURGES_PER_S * (SETTLES_S + RETUNE_S),
         "polls_s_unpaced": PURGES_PER_S * GATEWAYS,
         "requests_counting_interval": REQUESTS_PER_S / GATEWAYS * RETUNE_S,
+        "beat_period_s": beat_period_s(),
+        "death_noticed_s": DEAD_BEATS * beat_period_s(),
         "store_connections_zone_one_each": round(GATEWAYS / ZONES),
         "store_connections_zone_most": round(GATEWAYS / ZONES) * PER_STORE,
         "store_connections_all_one_each": GATEWAYS,
@@ -58,6 +61,11 @@
     }
 
 
+def beat_period_s() -> float:
+    """Between two beats of a gateway's agreement in the target's fleet."""
+    return Hearing(0, range(GATEWAYS), 0).period_ns / 1e9
+
+
 def least_sockets(connections: int) -> int:
     """The fewest descriptors of which a gateway with a door keeps so many for stores."""
     sockets = 2 * connections
