--- a/benchmarks/_capacity_rows.py
+++ b/benchmarks/_capacity_rows.py
@@ -768,7 +768,7 @@
         "each gateway's credit is its part of what the store bears",
     ),
     Row(
-        "cold ramp: largest share of what it bears, of all runs",
+        "cold ramp: largest share of what a cold store or parent of today's size bears",
         "ratio",
         Value(VIRTUAL, "ramp_worst_share_of_limit"),
         1.0,
