--- a/benchmarks/_capacity_sources.py
+++ b/benchmarks/_capacity_sources.py
@@ -162,6 +162,21 @@
         )
 
 
+@dataclass(frozen=True)
+class Quotient:
+    """A figure over another one that stands as it is, such as a ratio to the real thing."""
+
+    dividend: Source
+    divisor: Value
+
+    def names(self) -> list[str]:
+        return [*self.dividend.names(), *self.divisor.names()]
+
+    def figure(self, results: Found) -> Figure | None:
+        above, below = self.dividend.figure(results), self.divisor.figure(results)
+        return None if above is None or below is None else above.times(1.0 / below.value)
+
+
 @dataclass(frozen=True)
 class NotMeasured:
     """No benchmark has it."""
