Take the fleet's scale results into the capacity page, and judge what is missing first

Figures: docs/results/scale.json. Rows where none is allowed stand in the ranking now. Checked: tests/test_capacity_page.py, 13 passed.

--- a/benchmarks/_capacity_page.py
+++ b/benchmarks/_capacity_page.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from collections.abc import Mapping
 from pathlib import Path
@@ -40,8 +41,12 @@
 
 
 def share(figure: Figure | None, budget: float | None) -> float | None:
-    """The interval's upper end over the budget; None without either, or where nothing is allowed."""
-    return None if figure is None or not budget else figure.high / budget
+    """The interval's upper end over the budget, infinite where none is allowed; None without either."""
+    if figure is None or budget is None:
+        return None
+    if budget:
+        return figure.high / budget
+    return math.inf if figure.high > 0 else 0.0
 
 
 def cells(row: Row, results: Mapping[str, Any]) -> list[str]:
@@ -56,7 +61,7 @@
         UNKNOWN if figure is None else _interval(figure),
         "" if figure is None or not figure.beyond else f"{figure.beyond:.3g}",
         "" if row.budget is None else number(row.budget),
-        judged if part is None else f"{judged}, {part:.3g} of it",
+        judged if part is None or not row.budget else f"{judged}, {part:.3g} of it",
         row.mechanism,
         "; ".join(f"`{name}`" for name in row.source.names()),
     ]
@@ -98,10 +103,14 @@
     shown = [one for one in found if not one[0]][:RANKED] + [one for one in found if one[0]]
     for bound, part, name, row, figure in shown:
         judged = verdict(figure, row.budget) + (" (a bound, not the target)" if bound else "")
-        lines.append(f"| {name}: {row.what} | {-part:.3g} | {judged} | {row.following or 'none needed'} |")
+        lines.append(f"| {name}: {row.what} | {_part(-part)} | {judged} | {row.following or 'none needed'} |")
     return "\n".join(lines)
 
 
+def _part(part: float) -> str:
+    return "none is allowed" if math.isinf(part) else f"{part:.3g}"
+
+
 def missing(results: Mapping[str, Any]) -> str:
     """What has no figure."""
     found = [
--- a/benchmarks/_capacity_rows.py
+++ b/benchmarks/_capacity_rows.py
@@ -56,6 +56,7 @@
 NO_POLLS = "no polls of voting members by those who never vote"
 SPREAD = "changes of the agreement carried by relays, not by beats"
 RELEASE_ORDER = "the fleet's order in a release worked out once for each release"
+COMPACTION = "compaction of an hour's purges: the newest of a key, and none that has settled"
 SEVERAL = "several processes of one gateway"
 RING_REUSE = "a ring that keeps the points of stores that stayed"
 
@@ -131,6 +132,7 @@
         Value(SCALE, "hollow_over_real"),
         AIM_HOLLOW,
         "the same classes in both",
+        "a closer stand-in of a gateway's turn",
     ),
     Row(
         "the same of hollow gateways that share a process, by which axes of the fleet are corrected",
@@ -147,6 +149,13 @@
         PACING,
         PACING,
     ),
+    Row(
+        "processor time over gateways, at 7,500 and 10 purges a second",
+        "% of a core",
+        Quotient(Axis("gateways", "gateway_pct", GATEWAYS), SHARED),
+        CORE_PCT,
+        "no gateway knows of another",
+    ),
     Row(
         "processor time over stores, at 1,100 and 50 purges a second",
         "% of a core",
@@ -668,13 +677,27 @@
 
 ANSWERER = (
     Row(
-        "processor time of whoever answers polls, 7,500 gateways at 150 purges a second",
+        "processor time of whoever answers polls, 7,500 gateways at 150 purges a second, upper end",
         "cores",
-        Axis("gateways_at_target", "answerer_pct", GATEWAYS),
+        Value(SCALE, "parts.target.cores_high"),
         None,
         "one answer encoded for each poll",
         RELAYS,
-        1e-2,
+    ),
+    Row(
+        "the same by the line alone, upper end",
+        "cores",
+        Value(SCALE, "parts.target.cores_by_line_high"),
+        None,
+        "one answer encoded for each poll",
+        RELAYS,
+    ),
+    Row(
+        "how far these two are beyond the largest fleet measured at 150 purges a second",
+        "times",
+        Value(SCALE, "parts.target.beyond_measured"),
+        None,
+        "hollow gateways on one machine",
     ),
     Row(
         "bytes out of whoever answers polls",
@@ -701,7 +724,7 @@
         "a connection for each gateway",
     ),
     Row(
-        "machines for all of control, a third to spare",
+        "machines for answering polls, a third to spare",
         "machines",
         Value(SCALE, "control_machines"),
         AIM_MACHINES,
@@ -709,7 +732,7 @@
         RELAYS,
     ),
     Row(
-        "machines for all of control with the build before the present work",
+        "machines for answering polls with the build before the present work",
         "machines",
         Value(SCALE, "control_machines_before"),
         AIM_MACHINES,
@@ -718,7 +741,14 @@
         bound=True,
     ),
     Row(
-        "machines for all of control with relays",
+        "how far that is beyond the largest fleet of that build that was measured",
+        "times",
+        Value(SCALE, "parts.previous.target.beyond_measured"),
+        None,
+        "real gateways on one machine",
+    ),
+    Row(
+        "machines for answering polls with relays",
         "machines",
         Value(SCALE, "relay_machines"),
         AIM_MACHINES,
@@ -732,6 +762,14 @@
         "a poll for each purge",
         PACING,
     ),
+    Row(
+        "a purge in force everywhere in calm, the longest, at 7,500 gateways that share one machine",
+        "ms",
+        Axis("gateways_at_target", "in_force_ms_max", GATEWAYS),
+        PURGE_MS,
+        PACING,
+        RELAYS,
+    ),
     Row(
         "a purge in force everywhere in calm, the longest, 256 gateways",
         "ms",
@@ -929,7 +967,8 @@
         "MB",
         Value(SCALE, "parts.backlog.mb_over_idle"),
         AIM_OVER_IDLE_MB,
-        "bounded memory",
+        "a bounded purge table",
+        COMPACTION,
     ),
     Row(
         "an hour apart: processor time of a gateway's catching up",
@@ -937,7 +976,7 @@
         Axis("backlog", "gateway_s", HOUR_PURGES),
         None,
         "each purge by itself",
-        "compaction: the newest purge of a key",
+        COMPACTION,
     ),
     Row(
         "an hour apart: processor time of answering a region's 326 gateways",
