Measure relays in the scale benchmark: costs, a kill, two levels, an hour's backlog

The benchmark knew the stand-in discovery service alone, its keys for relays were null, and control_machines was the stand-in's figure.

A hollow gateway gets the other relays as Config.boards; the address that replaced its board was used by nobody and is gone. - The last line keeps calm and fault stages apart, and the stand-in's own machines as standin_machines. - The earlier build's compiled copy is kept in .native.previous for the next run: it took a minute each time.

Test: the short form has 16 gateways behind two relays, one killed; every gateway has every purge.

--- a/benchmarks/_deployment.py
+++ b/benchmarks/_deployment.py
@@ -44,6 +44,10 @@
         """Where the gateways of a group poll."""
         ...
 
+    def others(self, group: str) -> list[str]:
+        """To whom they turn where that one fails."""
+        ...
+
     def pids(self) -> list[int]:
         """The processes that answer polls."""
         ...
@@ -56,8 +60,8 @@
         """Starts again what `kill` has ended."""
         ...
 
-    def traffic(self, group: str) -> Said:
-        """Polls and bytes at the group's address since the start: `polls`, `bytes_in`, `bytes_out`."""
+    def traffic(self) -> dict[str, Said]:
+        """By group, polls and bytes since the start: `polls`, `bytes_in`, `bytes_out`."""
         ...
 
     def close(self) -> None: ...
@@ -116,6 +120,9 @@
     def address(self, group: str) -> str:
         return self._discovery.address(group)
 
+    def others(self, group: str) -> list[str]:
+        return []
+
     def pids(self) -> list[int]:
         return [self._discovery.pid]
 
@@ -125,8 +132,8 @@
     def restart(self) -> None:
         self._discovery.restart()
 
-    def traffic(self, group: str) -> Said:
-        found: Said = self._discovery.state()["ports"][group]
+    def traffic(self) -> dict[str, Said]:
+        found: dict[str, Said] = self._discovery.state()["ports"]
         return found
 
     def close(self) -> None:
@@ -242,7 +249,14 @@
     def hollow(self, count: int, group: str = MAIN, path: Path | None = None) -> Hollow:
         """A process of so many; `started` waits for it."""
         path = path or self.config(group)
-        said = {"config": str(path), "first": self._first, "count": count, "seed": self.seed}
+        boards = self.answerers.others(group)
+        said = {
+            "config": str(path),
+            "first": self._first,
+            "count": count,
+            "seed": self.seed,
+            "boards": boards,
+        }
         self._first += count
         made = Hollow(JsonProcess("_hollow_process", json.dumps(said)), group, count)
         self.hollows.append(made)
@@ -318,9 +332,9 @@
 
     def snapshot(self) -> Snapshot:
         """What every process has spent, and the traffic at every port, by now."""
-        traffic = self.discovery.state()["ports"]
+        traffic = self.answerers.traffic()
         excluded = {h.process.pid: h.process.do("state")["excluded_s"] for h in self.hollows}
-        pids = [*excluded, *(g.process.pid for g in self.reals), *self.answerers.pids()]
+        pids = {*excluded, *(g.process.pid for g in self.reals), *self.answerers.pids(), self.discovery.pid}
         spent = {pid: processor_s(pid) - excluded.get(pid, 0.0) for pid in pids}
         return Snapshot(time.monotonic(), spent, traffic)
 
--- a/benchmarks/_hollow.py
+++ b/benchmarks/_hollow.py
@@ -17,12 +17,13 @@
 import select
 import time
 from array import array
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from typing import Any
 
 from benchmarks._standin_discovery import tagged_us
 from olivecourse import interface as w
+from olivecourse.config.address import parse_address
 from olivecourse.config.gateway_config import Config, load_config
 from olivecourse.config.merging import merge
 from olivecourse.control_plane import ControlPlane
@@ -67,9 +68,10 @@
     """One gateway's control side. `took(gateway, event, now_us)` hears of each event of discovery that is in
     force, but for those of the start."""
 
-    def __init__(self, path: str, name: str, took: Took, address: str = "") -> None:
-        """`address` of the service that answers polls replaces the one in the configuration's file."""
-        self._path, self._name, self._took, self._address = path, name, took, address
+    def __init__(self, path: str, name: str, took: Took, boards: Sequence[str] = ()) -> None:
+        """`boards`: others that answer polls, to turn to, as an operator's file names them."""
+        self._path, self._name, self._took = path, name, took
+        self._boards = tuple(parse_address(text) for text in boards)
         self.config = self._read()
         self.loop = Loop()
         self.loop.faulted = self._faulted
@@ -92,10 +94,7 @@
 
     def _read(self) -> Config:
         config = load_config({"EDGE_NAME": self._name}, self._path)
-        if not self._address:
-            return config
-        host, _, port = self._address.rpartition(":")
-        return replace(config, board=(host, int(port)))
+        return replace(config, boards=self._boards)
 
     def log(self, event: str, **fields: Any) -> None:
         if len(self.logged) < 20:
@@ -154,7 +153,7 @@
         """Reads the configuration's file again, and goes by it."""
         old, fresh = self.config, self._read()
         merged = merge(old.settings, fresh.settings)
-        self.config = replace(old, board=fresh.board, settings=merged.settings)
+        self.config = replace(old, board=fresh.board, boards=fresh.boards, settings=merged.settings)
         self.control.reload(old, self.config)
         self.tracker.settle(merged.settings)
         self.planner.settle(merged.settings)
@@ -185,9 +184,9 @@
 class HollowFleet:
     """Many hollow gateways on one thread, each stepped when its selector or its timers have something."""
 
-    def __init__(self, path: str, first: int, address: str = "") -> None:
+    def __init__(self, path: str, first: int, boards: Sequence[str] = ()) -> None:
         """`first` is the number by which the first gateway's name is made."""
-        self._path, self._first, self._address = path, first, address
+        self._path, self._first, self._boards = path, first, boards
         self.gateways: list[HollowGateway] = []
         self.purges, self.changes, self.reloads = Times(), Times(), Times()
         self.eviction = CacheEviction()
@@ -205,7 +204,7 @@
             self._adopt(place)
 
     def _start(self, place: int) -> HollowGateway:
-        return HollowGateway(self._path, f"h{self._first + place}", self._took, self._address)
+        return HollowGateway(self._path, f"h{self._first + place}", self._took, self._boards)
 
     def _adopt(self, place: int) -> None:
         descriptor = self.gateways[place].loop._selector.fileno()
--- a/benchmarks/_hollow_process.py
+++ b/benchmarks/_hollow_process.py
@@ -1,7 +1,7 @@
 """A process of hollow gateways, driven by JSON lines on standard input, each answered by one line.
 
-Its argument is a JSON object: `config` (a path), `first` and `count` of the gateways, `address` of what
-answers polls, `seed`.
+Its argument is a JSON object: `config` (a path), `first` and `count` of the gateways, `seed`, and
+`boards`, the addresses to turn to where the configuration's own fails.
 """
 
 from __future__ import annotations
@@ -87,7 +87,7 @@
 
 
 def main(said: dict[str, Any]) -> None:
-    fleet = HollowFleet(said["config"], said["first"], said.get("address", ""))
+    fleet = HollowFleet(said["config"], said["first"], said.get("boards", ()))
     commands = Commands(fleet, said.get("seed", 1))
     alone = said["count"] == 1
     if not alone:
--- a/benchmarks/_scale_axes.py
+++ b/benchmarks/_scale_axes.py
@@ -99,6 +99,7 @@
         "answerer_kb_s_in": traffic.bytes_in / 1_000,
         "answerer_kb_s_out": traffic.bytes_out / 1_000,
         "answerer_polls_s": traffic.polls,
+        "discovery_pct": 100 * span.share(fleet.discovery.pid),
     }
 
 
@@ -126,11 +127,19 @@
 
 
 def gateways_axis(
-    folder: Path, seed: int, sizes: Sequence[int], rate: float, effort: Effort, said: Progress
+    folder: Path,
+    seed: int,
+    sizes: Sequence[int],
+    rate: float,
+    effort: Effort,
+    said: Progress,
+    prepare: Callable[[Deployment], None] = lambda fleet: None,
 ) -> Axis:
-    """Over the number of gateways; they stay, and more are added for each size."""
+    """Over the number of gateways; they stay, and more are added for each size. `prepare` may put other
+    answerers before them."""
     axis = Axis("gateways", {"purges_s": rate, "stores": 70})
     with Deployment(folder, store_list(70), seed) as fleet:
+        prepare(fleet)
         running = 0
         for size in sizes:
             start_hollows(fleet, size - running)
--- a/benchmarks/_scale_faults.py
+++ b/benchmarks/_scale_faults.py
@@ -20,6 +20,7 @@
 LATE_SHARE, LATE_S = 0.5, 1.0
 BACK_S = 1.0  # after a fault, for polls to be back
 HOT_EVERY = 10  # of the purges one in so many names an object that clients ask for
+CALM = "calm"  # the stage without a fault
 RESTARTED = 0.1  # of the fleet
 
 
@@ -155,7 +156,7 @@
         "seconds": round(time.monotonic() - began, 1),
         "script": script.happened,
         "in_force": {
-            "calm": calm,
+            CALM: calm,
             "a tenth restarted": restarted,
             "half of the answers late": late,
             "answerer killed": killed,
--- a/benchmarks/_scale_previous.py
+++ b/benchmarks/_scale_previous.py
@@ -21,6 +21,7 @@
 from benchmarks._scale_backlog import take_bulk
 
 COMMIT = "789e946"
+KEPT = ROOT / ".native.previous"  # its compiled copy, for the next run
 BUILD_S = 400.0
 BULK_PATIENCE_S = 60.0
 
@@ -39,6 +40,8 @@
 
     def start_compiling(self) -> None:
         """In the background; as compilation takes a minute of a core."""
+        if self.compiled:
+            return
         self._builder = subprocess.Popen(
             [sys.executable, "build_native.py"],
             cwd=self.folder,
@@ -60,13 +63,16 @@
 
 
 def check_out(folder: Path) -> PreviousBuild | None:
-    """The earlier build's sources, or None where the repository does not hold that commit."""
+    """The earlier build's sources, or None where the repository does not hold that commit. What was compiled
+    in that folder before is used again."""
+    if (folder / ".native" / "stamp").exists():
+        return PreviousBuild(folder, compiled=True)
     done = subprocess.run(
         ["git", "archive", COMMIT, "olivecourse", "build_native.py"], cwd=ROOT, capture_output=True
     )
     if done.returncode:
         return None
-    folder.mkdir(parents=True)
+    folder.mkdir(parents=True, exist_ok=True)
     with tarfile.open(fileobj=io.BytesIO(done.stdout)) as archive:
         archive.extractall(folder, filter="data")
     return PreviousBuild(folder)
--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -26,12 +26,12 @@
 from benchmarks._scale_backlog import BULKS, run_backlog, run_bulks
 from benchmarks._scale_capacity import at_target
 from benchmarks._scale_cost import TARGET_PURGES_PER_S, run_cost
-from benchmarks._scale_faults import run_faults
-from benchmarks._scale_previous import check_out, longest_turn, polls_axis
+from benchmarks._scale_faults import CALM, run_faults
+from benchmarks._scale_previous import KEPT, check_out, longest_turn, polls_axis
+from benchmarks._scale_relays import run_relays
 
 STORES_PURGES_PER_S = 50.0
 BACKLOG_GATEWAYS = 2  # each is told the whole backlog
-RELAYS = None  # no relay answers polls in this run
 
 
 @dataclass(frozen=True)
@@ -62,6 +62,11 @@
     previous: tuple[int, ...]
     previous_bulk: int
     compile_previous: bool  # which takes a minute
+    relay_fleet: tuple[int, ...]  # behind one relay; no axis where there is none
+    relay_gateways: int  # behind two, of which one is killed
+    relay_purges_s: float
+    relay_stage_s: float
+    relay_backlog: int  # 0: neither a backlog nor two levels
 
 
 LONG = Sizes(
@@ -89,6 +94,11 @@
     previous=(1, 2, 4, 8, 16),
     previous_bulk=30_000,
     compile_previous=True,
+    relay_fleet=(64, 256, 512, 1_024),
+    relay_gateways=256,
+    relay_purges_s=TARGET_PURGES_PER_S,
+    relay_stage_s=4.0,
+    relay_backlog=540_000,
 )
 SHORT = Sizes(
     cost_gateways=8,
@@ -115,6 +125,11 @@
     previous=(2,),
     previous_bulk=6_000,
     compile_previous=False,
+    relay_fleet=(),
+    relay_gateways=16,
+    relay_purges_s=50.0,
+    relay_stage_s=1.5,
+    relay_backlog=0,
 )
 
 
@@ -143,13 +158,25 @@
 
 def _run(folder: Path, sizes: Sizes, seed: int, said: Progress) -> dict[str, Any]:
     said(f"compiled: {native()}, {os.cpu_count()} cores, load {os.getloadavg()[0]:.1f}")
-    previous = check_out(folder / "previous")
+    compiling = sizes.compile_previous and native()
+    previous = check_out(KEPT if compiling else folder / "previous")
     try:
-        if previous is not None and sizes.compile_previous and native():
+        if previous is not None and compiling:
             previous.start_compiling()
             previous.wait_compiled()
             said(f"previous build compiled: {previous.compiled}")
         parts = _axes(folder, sizes, seed, said)
+        parts["relays"] = run_relays(
+            folder,
+            seed,
+            sizes.relay_fleet,
+            sizes.relay_gateways,
+            sizes.relay_purges_s,
+            sizes.relay_backlog,
+            sizes.relay_stage_s,
+            sizes.effort,
+            said,
+        )
         parts |= _real(folder, sizes, seed, said)
         parts["previous"] = None
         if previous is not None:
@@ -229,7 +256,10 @@
     """The figures that pages cite, before the parts that they come from."""
     cost, faults, backlog, axes = parts["cost"], parts["faults"], parts["backlog"], parts["axes"]
     target, previous = parts["target"], parts["previous"] or {}
-    stages = [stage for name, stage in faults["in_force"].items()]
+    stages = [stage for name, stage in faults["in_force"].items() if name != CALM]
+    direct, relays = faults["in_force"][CALM], parts["relays"]
+    behind, killed = relays["killed"]["calm"], relays["killed"]["relay killed"]
+    relayed, regions = relays["target"] or {}, relays["regions"] or {}
     changes = axes["changes"]["points"]
     fleet = [point["size"] for name in ("gateways", "gateways_at_target") for point in axes[name]["points"]]
     before = previous.get("target")
@@ -240,19 +270,30 @@
         "mb_gateway": cost["real_own_mb"],
         "hollow_over_real": cost["hollow_over_real"],
         "hollow_shared_over_real": cost["hollow_shared_over_real"],
-        "purge_everywhere_ms_p99": max(stage["p99_ms"] for stage in stages),
-        "purge_everywhere_ms_max": max(stage["max_ms"] for stage in stages),
+        "purge_everywhere_ms_p99": behind["p99_ms"],  # through relays, in calm
+        "purge_everywhere_ms_max": behind["max_ms"],
+        "purge_everywhere_ms_p99_relay_killed": killed["p99_ms"],
+        "purge_everywhere_ms_max_relay_killed": killed["max_ms"],
+        "purges_missing_relay_killed": killed["missing"],
+        "purge_everywhere_ms_p99_direct": direct["p99_ms"],  # no relay, in calm
+        "purge_everywhere_ms_max_direct": direct["max_ms"],
+        "purge_everywhere_ms_p99_faults": max(stage["p99_ms"] for stage in stages),  # no relay
+        "purge_everywhere_ms_max_faults": max(stage["max_ms"] for stage in stages),
         "config_everywhere_ms_max": max(
             max(point["changes_ms_max"], point["reloads_ms_max"]) for point in changes
         ),
         "purged_used_late": faults["used_late"],
         "backlog_s": backlog["backlog_s"],
         "longest_turn_ms": backlog["longest_turn_ms"],
-        "control_machines": None if target is None else target["machines"],
+        "mb_over_idle_backlog": backlog["mb_over_idle"],
+        "mb_over_idle_backlog_all_fresh": parts["rush"]["mb_over_idle"],
+        "control_machines": relayed.get("machines"),
         "control_machines_before": None if before is None else before["machines"],
         "baseline_turn_ms": previous.get("turn", {}).get("longest_logged_turn_ms"),
-        "relays": RELAYS,
-        "relay_machines": None,
-        "purge_everywhere_ms_max_relay_killed": None,
+        "relays": relays["killed"]["relays"],
+        "relay_machines": relayed.get("machines"),
+        "relay_machines_by_regions": regions.get("machines_by_load"),
+        "relay_processes_by_regions": regions.get("processes"),
+        "standin_machines": None if target is None else target["machines"],
         "parts": parts,
     }
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -339,7 +339,8 @@
 KEYS = (
     "gateways cpu_pct_gateway kb_s_gateway mb_gateway hollow_over_real purge_everywhere_ms_p99 "
     "purge_everywhere_ms_max config_everywhere_ms_max purged_used_late backlog_s longest_turn_ms "
-    "control_machines control_machines_before baseline_turn_ms"
+    "control_machines control_machines_before baseline_turn_ms relays relay_machines "
+    "purge_everywhere_ms_max_relay_killed standin_machines"
 ).split()
 
 
@@ -353,4 +354,9 @@
     assert points and not any(point["missing"] for point in points)
     assert all(not axis["slopes"] for axis in parts["axes"].values())  # one repeat bears none
     assert found["control_machines"] is None
+    killed = parts["relays"]["killed"]
+    assert found["relays"] == 2 and killed["connections_left_relay"] == killed["gateways"]
+    for stage in (killed["calm"], killed["relay killed"]):
+        assert stage["purges"] and not stage["missing"]
+        assert stage["count"] == stage["purges"] * killed["gateways"]
     assert found["backlog_s"] is not None and parts["cost"]["in_force"]["count"]
