Send no attempt that was planned without a purge received since

Cause: RequestTracker.may_send compared the time of the purge with the time at which the plan was carried out. A batch is planned event by event, so a read before a purge in its batch is planned without it; a separate planner's plan is older still. Change: the tracker numbers purges. A checkpoint with the number passes through the planner, at its place among events and actions, in one process or two. An attempt carries the last purge that its plan knew, and may_send, which every send passes, compares numbers. A planner that connects anew knows none until its first checkpoint.

--- a/olivecourse/control_plane.py
+++ b/olivecourse/control_plane.py
@@ -37,7 +37,7 @@
         loop: Loop,
         config: Config,
         tracker: RequestTracker,
-        emit: Callable[[interface.Event], None],
+        emit: Callable[[interface.PlannerEvent], None],
         server_terminated: Callable[[int, int], None],
         log: Callable[..., None],
     ) -> None:
@@ -112,20 +112,29 @@
         """Records discovery events in order and forwards them to the planner. An invalid event is logged.
         `first` is true for the events that the configuration contains, which are processed at startup.
         """
-        for raw in events:
-            try:
-                for event in self.directory.events(raw, first):
-                    if isinstance(event, interface.Purged):
-                        self._tracker.purge(event)
-                        self._record_purge(event)
-                    self._emit(event)
-            except InvalidEvent as error:
-                self.log("discovery_event_invalid", why=str(error))
+        before = self._tracker.checkpoint()
+        try:
+            for raw in events:
+                self._process(raw, first)
+        finally:  # also after an exception, or nothing more would be sent for the objects purged before it
+            if self._tracker.checkpoint() != before:
+                self._emit(self._tracker.checkpoint())
         terminated, self.directory.terminated_at = self.directory.terminated_at, {}
         for server, time_ns in terminated.items():
             self._server_terminated(server, time_ns)
         self._log_merged_purges()
 
+    def _process(self, raw: Any, first: bool) -> None:
+        """Records one discovery event and forwards what follows from it to the planner."""
+        try:
+            for event in self.directory.events(raw, first):
+                if isinstance(event, interface.Purged):
+                    self._tracker.purge(event)
+                    self._record_purge(event)
+                self._emit(event)
+        except InvalidEvent as error:
+            self.log("discovery_event_invalid", why=str(error))
+
     def _log_merged_purges(self) -> None:
         """Logs when the tracker's full purge table has merged further purges into one bound for all objects,
         so that copies of objects that were not purged are filled again.
@@ -160,3 +169,4 @@
                 if isinstance(object_or_group, str)
                 else interface.Purged(None, object_or_group, age)
             )
+        self._emit(self._tracker.checkpoint())
--- a/olivecourse/core/planner.py
+++ b/olivecourse/core/planner.py
@@ -66,13 +66,17 @@
         if self._limiter is not None:
             self._limiter.apply_settings(settings)
 
-    def decide(self, events: Iterable[interface.Event], now: int) -> list[interface.Action]:
+    def decide(self, events: Iterable[interface.PlannerEvent], now: int) -> list[interface.PlannerAction]:
         """Passes a batch of events to the Router and returns the resulting actions. `now` is in nanoseconds;
-        an earlier time than in the last call is replaced by that one.
+        an earlier time than in the last call is replaced by that one. Checkpoints are returned in their place
+        among the actions.
         """
         self._now = max(self._now, now)
-        actions: list[interface.Action] = []
+        actions: list[interface.PlannerAction] = []
         for event in events:
+            if isinstance(event, interface.Checkpoint):
+                actions.append(event)
+                continue
             try:
                 if self._limiter is not None:
                     self._limiter.on_event(event, self._now)
--- a/olivecourse/core/requests.py
+++ b/olivecourse/core/requests.py
@@ -134,6 +134,8 @@
     action: interface.Look | interface.ReadThrough
     sent_at: int
     deadline: int
+    # The number of the latest purge that the planner knew when it decided on the attempt.
+    known_purge: int = 0
     ended: bool = False
     sent: bool = False  # Whether any byte of the attempt may have been sent; set by the transport.
     timer: Cancellable | None = None
@@ -177,9 +179,14 @@
         self.open = 0
         self.transport: Transport | None = None
         self.closing = False  # Set shortly before the process stops; no request is accepted from then on.
-        # Purged objects and groups with the time at which this gateway received the purge. An attempt that
-        # was decided on before that time is not sent any more.
+        # Purged objects and groups. In place of a time from which copies are valid, this table has the number
+        # of the purge, counted in the order in which purges are received. An attempt that the planner decided
+        # on without knowing of a purge of its object is not sent.
         self.purged = PurgeTable(MIN_RETAINED_PURGES)
+        self._last_purge = 0  # the number of the latest purge received
+        # The number of the latest purge that the planner knew when it decided on the actions that are being
+        # executed, as its checkpoints say.
+        self._known_purge = 0
         # The number of requests accepted since the start, and of those whose client disconnected before the
         # answer.
         self.accepted = self.disconnected = 0
@@ -294,7 +301,12 @@
             return
         now = self._timers.now()
         new_attempt = Attempt(
-            entry, entry.attempt_count, action, now, min(now + action.timeout_ns, entry.deadline)
+            entry,
+            entry.attempt_count,
+            action,
+            now,
+            min(now + action.timeout_ns, entry.deadline),
+            self._known_purge,
         )
         entry.attempt_count += 1
         entry.open_attempts[new_attempt.number] = new_attempt
@@ -356,18 +368,19 @@
     # Called by the transport ------------------------------------------------------------------------
 
     def may_send(self, attempt: Attempt) -> bool:
-        """Returns whether an attempt that waited for a connection may still be sent.
+        """Returns whether an attempt may be sent, immediately before its first byte.
 
-        It may not if its request is closed, its deadline has passed, the object or its group has been purged
-        since the attempt was decided on, or stores may have forgotten the request's idempotency key.
+        It may not if its request is closed, its deadline has passed, stores may have forgotten the request's
+        idempotency key, or the planner did not know of a purge of the object or its group when it decided on
+        the attempt. The purges received by now count, however long the plan or the connection took.
         """
         request_event = attempt.entry.request_event
-        valid_from = max(self.purged.find(request_event.object, request_event.group), default=-1)
+        last_purge = max(self.purged.find(request_event.object, request_event.group), default=0)
         return (
             not attempt.ended
             and not attempt.entry.closed
             and attempt.deadline > self._timers.now()
-            and valid_from <= attempt.sent_at
+            and last_purge <= attempt.known_purge
             and self._within_key_memory(attempt)
         )
 
@@ -404,14 +417,29 @@
         return now < entry.first_sent_at + min(key_memories_ns) - KEY_MEMORY_MARGIN_NS
 
     def purge(self, event: interface.Purged) -> None:
-        """Records a purge, so that queued attempts decided on before it are not sent."""
+        """Records a purge, so that no attempt is sent that the planner decided on without knowing of it."""
         object_or_group = event.group if event.object is None else event.object
         if object_or_group is not None:
             now = self._timers.now()
             settling_ns = self._settings.purge_settles_ns
             # True if the purge is so old that every store has already dropped the copies made before it.
             settled = 0 < settling_ns <= (event.age_ns or 0)
-            self.purged.add(object_or_group, now, now + CLOSED_RETENTION_NS, now, settled)
+            self._last_purge += 1
+            self.purged.add(object_or_group, self._last_purge, now + CLOSED_RETENTION_NS, now, settled)
+
+    def checkpoint(self) -> interface.Checkpoint:
+        """Returns the checkpoint for the planner that follows the purges recorded so far."""
+        return interface.Checkpoint(self._last_purge)
+
+    def planner_reached(self, checkpoint: interface.Checkpoint) -> None:
+        """Records that the planner knew all purges up to a checkpoint when it decided on the attempts that
+        follow.
+        """
+        self._known_purge = checkpoint.last_purge
+
+    def planner_lost(self) -> None:
+        """Records that the next planner knows no purge until it reaches its first checkpoint."""
+        self._known_purge = 0
 
     def end(
         self,
--- a/olivecourse/gateway.py
+++ b/olivecourse/gateway.py
@@ -9,7 +9,7 @@
 
 import gc
 import resource
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any, TypeVar
 
@@ -78,7 +78,7 @@
         self.loop = loop = Loop()
         loop.on_stall = self._on_stall
         loop.on_fault = self._on_fault
-        self.batch: list[interface.Event] = []
+        self.batch: list[interface.PlannerEvent] = []
         self.stopping = False
         # The result of merging the settings at the last reload that applied settings, or None before the
         # first.
@@ -384,6 +384,7 @@
         """
         self.batch.clear()
         self.tracker.finish_all("planner lost")
+        self.tracker.planner_lost()
         self.batch.clear()
 
     def drain(self, draining: bool) -> None:
@@ -470,7 +471,7 @@
             elif self.remote is None or not self.remote.send(events, self.loop.clock.now()):
                 self._on_planner_lost()
 
-    def execute(self, actions: list[interface.Action]) -> None:
+    def execute(self, actions: Sequence[interface.PlannerAction]) -> None:
         """Executes the planner's actions, by passing each to the request tracker, the timers or another
         component.
         """
@@ -485,6 +486,8 @@
                 self.tracker.fail(action)
             elif isinstance(action, interface.Cancel):
                 self.tracker.cancel(action)
+            elif isinstance(action, interface.Checkpoint):
+                self.tracker.planner_reached(action)
             elif isinstance(action, interface.Log):
                 self.log("module", text=action.text)
             elif isinstance(action, interface.TellPeer):
--- a/olivecourse/interface.py
+++ b/olivecourse/interface.py
@@ -317,6 +317,18 @@
     CacheList | Request | StreamBegan | AttemptEnded | ClientLeft | TimerFired | Probed | PeerMessage | Purged
 )
 
+
+@dataclass(slots=True)
+class Checkpoint:
+    """Marks a place in the events of a gateway, which its planner returns at the same place of its actions.
+
+    All purges up to the one numbered `last_purge` are before this place. So the actions that follow were
+    decided on with these purges known. The router itself does not get checkpoints.
+    """
+
+    last_purge: int
+
+
 # Actions -----------------------------------------------------------------------------------------
 
 
@@ -431,6 +443,10 @@
     | Log
 )
 
+# What a gateway and its planner exchange: the router's events and actions, and the checkpoints among them.
+PlannerEvent = Event | Checkpoint
+PlannerAction = Action | Checkpoint
+
 
 class Limits(Protocol):
     """What a Router asks a guard against retry storms before it accepts or repeats a request.
--- a/olivecourse/net/planner_link.py
+++ b/olivecourse/net/planner_link.py
@@ -40,6 +40,7 @@
         interface.Probed,
         interface.PeerMessage,
         interface.Purged,
+        interface.Checkpoint,
         interface.Look,
         interface.ReadThrough,
         interface.Cancel,
@@ -214,7 +215,7 @@
         self._on_disconnected()
         self.loop.after(RECONNECT_DELAY_NS, self._connect)
 
-    def send(self, events: Sequence[interface.Event], now: int) -> bool:
+    def send(self, events: Sequence[interface.PlannerEvent], now: int) -> bool:
         """Sends events with the forwarder's clock `now`; returns whether a planner is still connected."""
         if self.stream is None:
             return False
@@ -241,7 +242,7 @@
         super().__init__(server.loop, sock, server.log, False)
 
     def batch_received(self, now: int, batch: list[Any]) -> None:
-        actions: list[interface.Action] = []
+        actions: list[interface.PlannerAction] = []
         if self.planner is None:
             self.planner = Planner(self.server.settings, now, self.log)
             self.server.on_planner_created(self.planner)
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -6,6 +6,7 @@
 import json
 import socket
 import time
+from dataclasses import replace
 
 from olivecourse import interface
 from olivecourse.config.gateway_config import read_config
@@ -244,8 +245,11 @@
         self.clients = []
 
     def config(self, raw):
-        """Parses the gateway configuration `raw` with the environment variables of this test."""
-        return read_config(raw, self.env)
+        """Parses the gateway configuration `raw` with the environment variables of this test.
+
+        `planner`, the path of a planner's socket, is read from an operator's file elsewhere.
+        """
+        return replace(read_config(raw, self.env), planner=raw.get("planner"))
 
     def turn(self):
         """Runs one turn of the gateway's event loop (waits up to 5 ms), and then its decisions."""
