Bound the part of a turn that clients take, over all clients together

Cause: MAX_FRAMES_PER_TURN bounds one client, 64 frames; nothing bounded the sum: 320 clients are 20,480 frames a turn. Change: sockets of clients are watched as deferrable.

--- a/benchmarks/_hollow.py
+++ b/benchmarks/_hollow.py
@@ -154,10 +154,10 @@
         loop.turn(0)
         self.decide()
         loop.lag_ns = (
-            loop.clock.now() - loop._turn_started_at
+            loop.clock.now() - loop.turn_started_at
         )  # set as in `Loop.run`, because polls are paced by it
         loop.longest_turn_ns = max(loop.longest_turn_ns, loop.lag_ns)
-        if loop._next:  # work that was cut into slices continues in the next turn
+        if loop.has_work_left:  # work that was cut into slices continues in the next turn
             return 0
         return loop.timers.wait_ns(loop.clock.now())
 
--- a/benchmarks/restart.py
+++ b/benchmarks/restart.py
@@ -159,7 +159,7 @@
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             loop.turn()
-            turns_ms.append((loop.clock.now() - loop._turn_started_at) / 1e6)
+            turns_ms.append((loop.clock.now() - loop.turn_started_at) / 1e6)
         if snapshotter is not None:
             assert snapshotter.schedule.written >= seconds
             snapshotter.stop()
--- a/olivecourse/fronts/listener.py
+++ b/olivecourse/fronts/listener.py
@@ -113,9 +113,10 @@
         self.incomplete_since = 0  # when the request now arriving began to arrive; 0 if none is
         self.answered = False  # whether any response has been written
         self.request_count = 0  # how many valid requests the connection has carried so far
+        self.frames_pending = False  # complete frames are left in the inbox for a later turn
         self._client_address: int | None = None
         self.lingers = False  # in a lingering close: data that still arrives is discarded
-        super().__init__(front.loop, sock, most_in, most_out)
+        super().__init__(front.loop, sock, most_in, most_out, deferrable=True)
 
     def load(self) -> int:
         """Returns the number of open requests: received on this connection and not answered yet."""
@@ -207,21 +208,40 @@
                 return
 
     def is_idle(self) -> bool:
-        """Reads what has arrived, then returns whether the connection may be closed without loss.
+        """Returns whether the connection may be closed without loss.
 
-        That is: it is open and not lingering, no request is open, no response byte is unsent, and no request
-        has arrived in part.
+        That is: it is open and not lingering, no request is open, no response byte is unsent, no request has
+        arrived in part, and nothing waits unread, which is left for the connection's turn in the event loop.
         """
-        if self.open and not self.lingers:
-            self.read()
         return (
             self.open
             and not self.lingers
             and not self.load()
             and not len(self.outbox)
             and not self.incomplete_since
+            and not self.has_unread_input()
+            and self.open  # the client may have closed it just now
         )
 
+    def has_unread_input(self) -> bool:
+        """Returns whether bytes of the client wait unread; closes the connection if its client has left."""
+        try:
+            if self.sock.recv(1, socket.MSG_PEEK):
+                return True
+            self.close("closed by the other side")
+        except (BlockingIOError, InterruptedError):
+            pass
+        except OSError as error:
+            self.close(errno.errorcode.get(error.errno or 0, "error"))
+        return False
+
+    def partial_request_overdue(self, now: int) -> bool:
+        """Returns whether a request has been arriving for longer than its time limit."""
+        limit_ns = MAX_PARTIAL_REQUEST_TIMEOUT_NS if self.load() else PARTIAL_REQUEST_TIMEOUT_NS
+        if not self.open or not self.incomplete_since or self.frames_pending:
+            return False
+        return now - self.incomplete_since > limit_ns
+
     def update_group(self) -> None:
         """Makes the listener classify this connection again, because it became idle or busy."""
         self.listener.classify(self)
@@ -284,13 +304,16 @@
         self.draining = False
         # Whether each request event carries its client's IP address, which the retry storm guard needs.
         self.identifies_clients = False
-        loop.watch(self._sock, READ, self._accept)
+        self._watch()
         loop.after(SWEEP_NS, self._sweep)
 
     def client(self, sock: socket.socket) -> Client:
         """Creates the `Client` for an accepted connection, as the protocol (Thrift or HTTP) needs it."""
         raise NotImplementedError
 
+    def _watch(self) -> None:
+        self.loop.watch(self._sock, READ, self._accept, deferrable=True)
+
     def _accept(self, mask: int) -> None:
         for _ in range(64):
             try:
@@ -328,7 +351,7 @@
     def _resume(self) -> None:
         if self._paused and self._sock.fileno() >= 0:
             self._paused = False
-            self.loop.watch(self._sock, READ, self._accept)
+            self._watch()
 
     def fileno(self) -> int:
         """Returns the listening socket's descriptor, which another process may share; -1 if it is closed."""
@@ -438,12 +461,12 @@
         self.loop.after(SWEEP_NS, self._sweep)  # first, so that an exception below does not end the sweeps
         now, unread = self.loop.clock.now(), 0
         for client in list(self.clients):
-            partial_ns = now - client.incomplete_since if client.incomplete_since else 0
             unread += len(client.outbox)
             if client.lingers:
                 continue
-            if partial_ns > (MAX_PARTIAL_REQUEST_TIMEOUT_NS if client.load() else PARTIAL_REQUEST_TIMEOUT_NS):
-                client.close("request not completed in time")
+            if client.partial_request_overdue(now):
+                if not client.has_unread_input():  # its last bytes may have arrived and wait for their turn
+                    client.close("request not completed in time")
             elif client in self._new_clients and now - client.connected_at > FIRST_REQUEST_TIMEOUT_NS:
                 if client.is_idle():
                     client.linger("no request in time")
--- a/olivecourse/fronts/thrift.py
+++ b/olivecourse/fronts/thrift.py
@@ -168,7 +168,6 @@
         self.predecessor: HandoverPeer | None = None
         # The sequence numbers whose requests the previous process still serves and whose responses it sends.
         self.predecessor_numbers: set[int] = set()
-        self.frames_pending = False  # frames are left in the inbox for the next turn
         super().__init__(front, sock, MAX_FRAME_BYTES + 4, MAX_UNREAD_BYTES)
 
     def load(self) -> int:
@@ -259,14 +258,14 @@
         )
         if processed >= MAX_FRAMES_PER_TURN and self.open and len(self.inbox):
             self.frames_pending = True
-            self.loop.next_turn(self._continue)
+            self.loop.defer(self._continue)
 
     def process_inbox(self) -> None:
         if not self.frames_pending:
             super().process_inbox()
 
     def _continue(self) -> None:
-        """Processes the frames left by the previous turn, after a read that notices if the client is gone."""
+        """Processes the frames left by an earlier turn, after a read that notices if the client is gone."""
         self.frames_pending = False
         if self.open and not self.lingers:
             self.read()
--- a/olivecourse/net/stream.py
+++ b/olivecourse/net/stream.py
@@ -64,7 +64,11 @@
         max_inbox_bytes: int,
         max_outbox_bytes: int,
         connecting: bool = False,
+        deferrable: bool = False,
     ) -> None:
+        """`connecting` means that the connection is still being established, and `deferrable` that `Loop` may
+        put the handling of this connection off while many others are ready.
+        """
         self.loop, self.sock = loop, sock
         self.inbox, self.outbox = RingBuffer(max_inbox_bytes), RingBuffer(max_outbox_bytes)
         self.connecting, self.open = connecting, True
@@ -73,7 +77,7 @@
         # True after `try_send` returned False, until the socket is writable: its data is not in the outbox.
         self._blocked = False
         self._mask = WRITE if connecting else READ
-        loop.watch(sock, self._mask, self._ready)
+        loop.watch(sock, self._mask, self._ready, deferrable)
 
     @staticmethod
     def connect(loop: Loop, address: Address) -> socket.socket:
