Read the events that discovery has sent before a send in a turn that has lasted

Cause: the last look before a send asks the directory and the purges as they were read, which is as of the turn's beginning. Change: before each send to a store, ControlPlane.refresh reads from discovery if the turn, or the last such read, is over 20 ms old: one system call in turns that long, none in others. A fault in it ends that connection only.

--- a/benchmarks/_capacity_memory.py
+++ b/benchmarks/_capacity_memory.py
@@ -169,7 +169,9 @@
         )
         limits = ConnectionLimits(5_000 * MS, 60_000 * MS, 100, 24, 4096)
         self.directory = directory(seed)
-        self.pool = ServerPool(self.loop, self.directory, tracker, limits, ["read"], (), _silent)
+        self.pool = ServerPool(
+            self.loop, self.directory, tracker, limits, ["read"], (), lambda: None, _silent
+        )
         self._listening = socket.create_server(("127.0.0.1", 0), backlog=512)
 
     def add(self, count: int) -> list[StoreConnection]:
--- a/olivecourse/control_plane.py
+++ b/olivecourse/control_plane.py
@@ -19,6 +19,10 @@
 from olivecourse.net.loop import Loop
 from olivecourse.purge_table import PurgeTable
 
+# Nothing is sent to a store while an event of discovery may have waited unread for longer than this, in
+# nanoseconds. A small part of the shortest time within which events must be obeyed.
+MAX_EVENT_DELAY_NS = 20_000_000
+
 
 def _graces_ns(settings: interface.Settings) -> tuple[int, ...]:
     """Returns two grace periods in nanoseconds: the times within which the settings require a gateway to obey
@@ -60,6 +64,8 @@
         # The revision number of the last discovery event received, as of the start or of the last time
         # polling stopped. The next discovery client polls from there.
         self._revision = config.rev
+        # When `refresh` last read from discovery, on the event loop's clock.
+        self._refreshed_at = 0
         # Purges still in effect, sent to a planner process whenever one connects. Stays empty if the planner
         # runs in this process.
         self.purges = PurgeTable(min_retained=0)
@@ -99,6 +105,18 @@
         else:
             self.discovery.replace_addresses(new_config.board, new_config.boards)
 
+    def refresh(self) -> None:
+        """Reads the events that discovery has sent, unless that was done within MAX_EVENT_DELAY_NS.
+
+        Called before each send to a store, since the process may have been held up, or busy, since this turn
+        of the event loop began.
+        """
+        now = self.loop.clock.now()
+        if now - max(self.loop.turn_started_at, self._refreshed_at) > MAX_EVENT_DELAY_NS:
+            self._refreshed_at = now
+            if self.discovery is not None:
+                self.discovery.read_events()
+
     def stop(self) -> None:
         """Stops polling discovery. The revision of the last event received is kept, so that a later discovery
         client continues there.
--- a/olivecourse/gateway.py
+++ b/olivecourse/gateway.py
@@ -110,6 +110,7 @@
             limits,
             [c.name for c in settings.classes],
             settings.report_fields,
+            self.control.refresh,
             log,
         )
         self.tracker.transport = self.pool
--- a/olivecourse/net/discovery_client.py
+++ b/olivecourse/net/discovery_client.py
@@ -195,6 +195,7 @@
         self._backoff_ns = RECONNECT_BACKOFF_NS
         self._stopped = False
         self.answered = False  # whether this client has ever read a whole response
+        self._delivering = False  # whether `deliver` is at work
         self.stream: PollStream | None = None
         self._timer: Timer | None = None  # the timer of the next connection attempt
         self._connect()
@@ -238,9 +239,23 @@
 
     def deliver(self, reader: ResponseReader, events: list[Any]) -> None:
         """Advances `rev` to the last of these events, which are all newer, and passes them to `on_events`."""
-        if events:
-            self.rev = reader.rev
+        if not events:
+            return
+        self.rev = reader.rev
+        self._delivering = True
+        try:
             self._on_events(events)
+        finally:
+            self._delivering = False
+
+    def read_events(self) -> None:
+        """Delivers the events that have arrived on the connection, outside its turn in the event loop.
+
+        Does nothing while events are being delivered.
+        """
+        stream = self.stream
+        if stream is not None and not stream.connecting and not self._delivering:
+            stream.read_ahead()
 
     def on_response(self, reader: ResponseReader) -> None:
         """Called when a response has been read to its end without error; resets the backoff."""
--- a/olivecourse/net/server_pool.py
+++ b/olivecourse/net/server_pool.py
@@ -195,6 +195,9 @@
         self._sending = True
         try:
             while self.waiting and self.open and not len(self.outbox):
+                self.pool.refresh_events()
+                if not self.open or not self.waiting:  # an event has closed this connection
+                    continue
                 if self.waiting[0].entry.request_class.effect is interface.Effect.AT_MOST_ONCE:
                     # If the store has closed the connection, this read notices it before anything is sent,
                     # so the attempt has certainly not run. After a send, that would not be certain.
@@ -372,11 +375,14 @@
         limits: ConnectionLimits,
         classes: list[str],
         reports: tuple[str, ...],
+        refresh_events: Callable[[], None],
         log: Callable[..., None],
     ) -> None:
         """`classes` lists the names of the request classes by class number. `reports` names the fields that
-        are taken from the load reports of stores; if it is empty, the reports are ignored.
+        are taken from the load reports of stores; if it is empty, the reports are ignored. `refresh_events`
+        is called before each send; it reads the events of discovery that may have arrived meanwhile.
         """
+        self.refresh_events = refresh_events
         self.reports = reports
         self.loop, self.directory, self.tracker, self.limits = loop, directory, tracker, limits
         self.log = log
--- a/olivecourse/net/stream.py
+++ b/olivecourse/net/stream.py
@@ -134,6 +134,14 @@
         if mask & READ and self.open:
             self.read()
 
+    def read_ahead(self) -> None:
+        """Reads what has arrived before the event loop reports it; a fault closes the stream."""
+        try:
+            self.read()
+        except Exception as error:
+            self.close(f"fault: {type(error).__name__}")
+            self.loop.on_fault("socket", error)
+
     def read(self) -> None:
         """Reads up to `reads` times, until the socket is empty; calls `received` after each read.
 
--- a/tests/test_purge_races.py
+++ b/tests/test_purge_races.py
@@ -7,7 +7,7 @@
 import time
 
 import pytest
-from harness import OBJECT, REQUEST, GatewayHarness
+from harness import OBJECT, REQUEST, GatewayHarness, member
 
 from olivecourse import interface
 from olivecourse.net.loop import Loop
@@ -141,3 +141,51 @@
     assert has_age_bound(remote.until(harness.cache.line))
     harness.client().call(i="22" * 8, o="22" * 8)
     assert remote.until(harness.cache.line)
+
+
+# Events that wait unread in the connection to discovery ---------------------------------------------
+
+
+class OffsetClock:
+    """The clock of an event loop, set forward by `ahead_ns`."""
+
+    def __init__(self, clock):
+        self._clock, self.ahead_ns = clock, 0
+
+    def now(self):
+        return self._clock.now() + self.ahead_ns
+
+    def from_unix_ms(self, ms):
+        return self._clock.from_unix_ms(ms) + self.ahead_ns
+
+
+def hold_up_between_read_and_send(harness, **event_body):
+    """Publishes an event after a read has arrived, and lets 0.9 s pass before the gateway decides on it."""
+    harness.until(lambda: b"watch=1&" in harness.board.poll())
+    harness.publish(2, flush={"asset": "11" * 8, "ms": 1})
+    harness.until(lambda: b"watch=2&" in harness.board.poll())
+    read_without_deciding(harness)
+    harness.publish(3, **event_body)
+    clock = harness.gateway.loop.clock = OffsetClock(harness.gateway.loop.clock)
+    clock.ahead_ns = 900_000_000
+    harness.gateway.decide()
+
+
+with_board = pytest.mark.parametrize("harness", [{"board": True}], indirect=True)
+
+
+@with_board
+@pytest.mark.parametrize("key", ["object", "group"])
+def test_a_purge_that_waits_unread_while_the_process_is_held_up_bounds_the_age_of_the_copy(harness, key):
+    """Guards against purged copies after a long turn, or a stop, between a read's arrival and its send."""
+    hold_up_between_read_and_send(harness, flush=purge_event(key)["flush"])
+    assert has_age_bound(harness.until(harness.cache.line))
+
+
+@with_board
+def test_a_drain_that_waits_unread_while_the_process_is_held_up_keeps_requests_from_the_store(harness):
+    """Guards against sends to a drained store after a long turn, or a stop, before the send."""
+    drained = member("s-00000001", harness.cache.address, phase="Terminating")
+    hold_up_between_read_and_send(harness, pool={"revision": 2, "complete": False, "members": [drained]})
+    harness.until(lambda: harness.parent.line() or harness.origin.line() or harness.clients[-1].answers())
+    assert REQUEST.encode() not in harness.cache.poll()
