Keep a forwarder alive when a write to its planner fails

Cause: RemotePlanner.send compares self.stream with None, writes, and compares it again. A failed write closes the connection and sets the attribute to None; mypyc has narrowed its type by the first comparison, and the second read raises TypeError. Change: send holds the connection in a local variable and asks it whether it is open after the write.

--- a/olivecourse/net/planner_link.py
+++ b/olivecourse/net/planner_link.py
@@ -217,10 +217,11 @@
 
     def send(self, events: Sequence[interface.PlannerEvent], now: int) -> bool:
         """Sends events with the forwarder's clock `now`; returns whether a planner is still connected."""
-        if self.stream is None:
+        stream = self.stream
+        if stream is None:
             return False
-        self.stream.write(encode_batch(now, events))
-        return self.stream is not None
+        stream.write(encode_batch(now, events))  # closes the stream, and so resets `self.stream`, if it fails
+        return stream.open
 
     def close(self) -> None:
         """Closes the connection to the planner and never reconnects."""
