Log an event without a number as an invalid response in the compiled copy, too

Operators saw: "discovery_disconnected: broken HTTP: `on_message_complete` callback error" in place of discovery_response_invalid; nothing else, as the answer is asked for again. ResponseReader.finish compares self.error with None, calls _newer, which may set it, and compares again: mypyc raises TypeError in the parser's callback. Change: both comparisons are in a method, so that no type is narrowed in finish.

--- a/olivecourse/discovery/event_stream.py
+++ b/olivecourse/discovery/event_stream.py
@@ -253,10 +253,16 @@
             except EventStreamError as error:
                 self.error = error
         held_events, self._held_events = self._held_events, []
-        if self.error is not None:
+        if self._failed():
             return []
         new_events = self._newer(held_events)
-        return [] if self.error is not None else new_events
+        return [] if self._failed() else new_events
+
+    def _failed(self) -> bool:
+        """Whether `error` is set. A method, because mypyc takes an attribute that was compared with None for
+        None from then on, also after a call that has set it.
+        """
+        return self.error is not None
 
     def _newer(self, events: list[Any]) -> list[Any]:
         """Returns the events whose number is above that of the last one used, sorted by number, and advances
--- a/tests/test_compiled.py
+++ b/tests/test_compiled.py
@@ -38,3 +38,9 @@
     """Guards against the end of a forwarder, and of its open requests, when its planner is killed."""
     result = run_compiled("compiled_planner_loss.py", tmp_path / "planner.sock")
     assert result.returncode == 0, result.stderr
+
+
+def test_an_event_without_a_number_is_logged_as_an_invalid_response(run_compiled):
+    """Guards against a TypeError in the HTTP parser's callback, which the log then calls broken HTTP."""
+    result = run_compiled("compiled_unnumbered_event.py")
+    assert result.returncode == 0, result.stderr
