Connect the client of the upgrade test when it is about to ask

Seen: test_operators_commands_and_an_upgrade_as_documented failed beside load. Change: the client connects after the commands; every assertion stays.

--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -51,9 +51,13 @@
                 return log_entry
         raise AssertionError(f"{name} was never logged")
 
+    def port(self):
+        """Waits until the program is ready and returns the port on which it listens for clients."""
+        return int(self.event("ready")["listen"].rpartition(":")[2])
+
     def client(self):
         """Waits until the program is ready and connects a client to it."""
-        return Client(int(self.event("ready")["listen"].rpartition(":")[2]))
+        return Client(self.port())
 
     def end(self, number=signal.SIGTERM):
         """Sends a signal and returns the exit code."""
@@ -301,13 +305,14 @@
     assert run("ops", "ready", EDGE_MGMT="nowhere").returncode == 2
     assert run("serve", "--config", config, EDGE_MGMT="nowhere").returncode == 2
     old = start("serve", "--config", config, EDGE_MGMT=address, TMPDIR=str(folder))
-    client = old.client()
+    port = old.port()
     results = [
         run("ops", *words, "--address", address)
         for words in (["ready"], ["stats"], ["down", "s-00000008"], ["down", "s-0000000f"])
     ]
     assert [result.returncode for result in results] == [0, 0, 0, 1], [result.stderr for result in results]
     assert "app_cluster_size 3.0" in results[1].stdout and "no list has named" in results[3].stderr
+    client = Client(port)  # not before the commands: a client that sends nothing for 2.3 s is closed
     client.call(1)
     request = until(cache.line).split(" ")[1]
     new = start("serve", "--config", config, EDGE_MGMT=new_address, TMPDIR=str(folder))
