--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,7 @@
 """Helpers for tests of the decision module's Router: default settings, stores, and a driver."""
 
 import hypothesis
+import known_red
 import pytest
 
 from olivecourse import interface
@@ -10,6 +11,8 @@
 hypothesis.settings.register_profile("fixed", derandomize=True, database=None, deadline=None)
 hypothesis.settings.load_profile("fixed")
 
+pytest_addoption, pytest_configure = known_red.add_option, known_red.enable
+
 MS = 1_000_000
 S = 1_000 * MS
 PARENTS, ORIGIN = (50, 51), 60
