Give pytest the list of known red tests in a form that it can read

Cause: with a space, pytest takes the file for a path of tests, so that it does not load tests/conftest.py with the option.

--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -110,4 +110,5 @@
 def test_the_projects_list_is_valid_and_ci_uses_it():
     read_entries(ROOT / "KNOWN-RED.txt")
     (command,) = re.findall(r"^exec (.*)$", (ROOT / ".ci" / "run").read_text(), re.M)
-    assert command == ".venv/bin/python -m pytest -q --known-red KNOWN-RED.txt"
+    # With a space in place of "=", pytest takes the file for a test path and never loads the option.
+    assert command == ".venv/bin/python -m pytest -q --known-red=KNOWN-RED.txt"
