--- a/review/standins2.py
+++ b/review/standins2.py
@@ -9,6 +9,7 @@
 import asyncio
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -35,10 +36,23 @@
     return time.time_ns() // 1_000_000
 
 
+_given_ports: set[int] = set()
+
+
 def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """A port that is free for TCP and UDP, below the range from which the system takes ports for connections."""
+    while True:
+        port = random.SystemRandom().randrange(10_240, 32_000)
+        if port in _given_ports:
+            continue
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as sock:
+                    sock.bind(("127.0.0.1", port))
+        except OSError:
+            continue
+        _given_ports.add(port)
+        return port
 
 
 class Record:
