review: format the scripts of the cases 6 to 10 as the tests ask

Cause: the test suite checks the format and the lint rules of every Python file, also of those in `review/`.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -73,8 +73,12 @@
             lose.add(text)
         for attempt in range(3):
             record(f"client: {text} try {attempt + 1}")
-            status, headers, _ = await http(port, "POST", target, text.encode(), f"Authorization: Bearer {token}\r\n")
-            record(f"client: {text} try {attempt + 1}: {status} retry-after {headers.get('retry-after', '-')}")
+            status, headers, _ = await http(
+                port, "POST", target, text.encode(), f"Authorization: Bearer {token}\r\n"
+            )
+            record(
+                f"client: {text} try {attempt + 1}: {status} retry-after {headers.get('retry-after', '-')}"
+            )
             if status != 503:
                 return str(status)
             await asyncio.sleep(float(headers.get("retry-after", 1)))
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -109,7 +109,9 @@
                 store.name = f"s-{secrets.token_hex(4)}"
                 changes.append({**member(store, "petit", "praia", size=1), "up_since_ms": unix_ms()})
             board.publish(pool={"revision": 2 + step, "complete": False, "members": changes})
-        record(f"{len(leaving)} of {STORES} stores replaced in {time.monotonic() - began:.1f} s, {steps} events")
+        record(
+            f"{len(leaving)} of {STORES} stores replaced in {time.monotonic() - began:.1f} s, {steps} events"
+        )
     else:
         await asyncio.sleep(WITHIN_S)
     await asyncio.sleep(12)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""A store drains and goes while the notice board answers each poll a second late; its address is taken anew."""
+"""A store drains and goes while the notice board answers a second late; its address is taken anew."""
 
 from __future__ import annotations
 
@@ -33,10 +33,15 @@
 
 async def play(case: Case) -> list[str]:
     record, port, broken = case.record, free_port(), list[str]()
-    stores = {name: await Store(name, record).start() for name in ("box-1", "box-2", "box-3", "hub-1", "archive-1")}
+    stores = {
+        name: await Store(name, record).start() for name in ("box-1", "box-2", "box-3", "hub-1", "archive-1")
+    }
     board = await Board(record).start()
     members = [member(stores[name], "petit", "praia") for name in ("box-1", "box-2", "box-3")]
-    members += [member(stores["hub-1"], "parent", "hub-nord"), member(stores["archive-1"], "origin", "hub-nord")]
+    members += [
+        member(stores["hub-1"], "parent", "hub-nord"),
+        member(stores["archive-1"], "origin", "hub-nord"),
+    ]
     board.publish(pool={"revision": 1, "complete": True, "members": members})
     office = settings(CLASSES)
     office["zones"] = ["hub-nord", "praia", "mindelo"]
@@ -103,7 +108,9 @@
     late = [r for r in old.requests if r.begun_at > drained_at + TOLD_MS + GRACE_MS + SLACK_MS]
     if late:
         first, last = late[0].begun_at - drained_at, late[-1].begun_at - drained_at
-        broken.append(f"{len(late)} requests sent to box-2, {first} to {last} ms after the board told of its drain")
+        broken.append(
+            f"{len(late)} requests sent to box-2, {first} to {last} ms after the board told of its drain"
+        )
     foreign = [r for r in new.requests if r.begun_at > gone_at + TOLD_MS + GRACE_MS + SLACK_MS]
     if foreign:
         broken.append(
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -1,4 +1,4 @@
-"""Small stand-ins for the cases 6 to 10: stores, a notice board, Thrift and HTTP clients, and a gateway's start.
+"""Small stand-ins for the cases 6 to 10: stores, a notice board, clients, and the start of processes.
 
 They use the standard library alone, bind to 127.0.0.1 and free ports, and behave as the pages say. Every case
 writes what was sent, answered and run to `record.txt` in its folder.
@@ -40,7 +40,7 @@
 
 
 def free_port() -> int:
-    """A port that is free for TCP and UDP, below the range from which the system takes ports for connections."""
+    """A port that is free for TCP and UDP, below the range that the system takes for connections."""
     while True:
         port = random.SystemRandom().randrange(10_240, 32_000)
         if port in _given_ports:
@@ -92,8 +92,9 @@
         },
         "profiles": [
             {
-                "name": name, "on_time_ns": 600_000_000, "aim_stretch": 2.0, "deadline_ns": deadline * 1_000_000,
-                "worth": 1.0, "late_worth": 0.1, "effect": effect, "key_scope": "all",
+                "name": name, "on_time_ns": 600_000_000, "aim_stretch": 2.0,
+                "deadline_ns": deadline * 1_000_000, "worth": 1.0, "late_worth": 0.1,
+                "effect": effect, "key_scope": "all",
                 "memory_span_ns": 5 * S, "streamed": False,
             }
             for name, deadline, effect, _ in classes
@@ -113,7 +114,9 @@
 
 
 # Returns (word, fields, body) to answer, or None for no answer at all.
-Handler = Callable[["Store", StoreRequest, asyncio.StreamWriter], Awaitable[tuple[str, dict[str, str], bytes] | None]]
+Handler = Callable[
+    ["Store", StoreRequest, asyncio.StreamWriter], Awaitable[tuple[str, dict[str, str], bytes] | None]
+]
 
 
 async def serve_plain(store: Store, request: StoreRequest, writer: asyncio.StreamWriter):
@@ -222,7 +225,7 @@
 
     async def start(self) -> Board:
         self._server = await asyncio.start_server(self._connected, "127.0.0.1", 0)
-        self.address = "127.0.0.1:%d" % self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
         return self
 
     @property
@@ -385,7 +388,7 @@
 
 
 class ThriftAnswer:
-    """What came for a call: `kind` is "served", "refused", "failed" or "fault"; `good` the answer of isWell."""
+    """What came for a call: `kind` is "served", "refused", "failed" or "fault"; `good` is isWell's."""
 
     def __init__(self, message: bytes) -> None:
         self.body, self.fields, self.good = b"", dict[str, str](), False
@@ -517,7 +520,9 @@
 # HTTP -----------------------------------------------------------------------------------------------
 
 
-async def http(port: int, method: str, target: str, body: bytes = b"", headers: str = "", timeout_s: float = 10.0):
+async def http(
+    port: int, method: str, target: str, body: bytes = b"", headers: str = "", timeout_s: float = 10.0
+):
     """One HTTP call on a connection of its own; returns (status, headers, body), or (0, {}, b"") for none."""
     try:
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
@@ -526,7 +531,8 @@
     try:
         writer.write(
             f"{method} {target} HTTP/1.1\r\nHost: 127.0.0.1:{port}\r\n{headers}"
-            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n".encode() + body
+            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n".encode()
+            + body
         )
         return await asyncio.wait_for(read_http(reader), timeout_s)
     except (OSError, asyncio.IncompleteReadError, TimeoutError):
@@ -538,5 +544,11 @@
 async def read_http(reader: asyncio.StreamReader):
     """Reads one response with a Content-Length: (status, headers, body)."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
-    headers = {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in head[1:] if line)}
-    return int(head[0].split(" ")[1]), headers, await reader.readexactly(int(headers.get("content-length", 0)))
+    headers = {
+        name.lower(): value.strip() for name, _, value in (line.partition(":") for line in head[1:] if line)
+    }
+    return (
+        int(head[0].split(" ")[1]),
+        headers,
+        await reader.readexactly(int(headers.get("content-length", 0))),
+    )
