Refuse an order on signed HTTP only on proof that no store has run it

Cause: whether a request may be refused followed from the effect of its class alone. The refusal also releases the order token, and the next order with it is a new request to the stores, without a key, which they can't know again.

Change: a request that a token permits is accepted as `single_use`, and the tracker, which words every refusal, refuses it only if no attempt may have run; else it fails and the token stays used up.

--- a/olivecourse/core/requests.py
+++ b/olivecourse/core/requests.py
@@ -121,6 +121,8 @@
     # The time at which the planner decided on the first attempt that a store may have executed; 0 if there is
     # none.
     first_sent_at: int = 0
+    # Whether the client may repeat the request only if a refusal proves that no store has run it.
+    single_use: bool = False
     closed: bool = False
     deadline_timer: Cancellable | None = None
 
@@ -228,11 +230,15 @@
         held_tag: str | None,
         reply: Reply,
         key: str | None = None,
+        single_use: bool = False,
     ) -> None:
         """Accepts a request, which from here on must get exactly one final answer.
 
         `held_tag` is the version tag of the copy that the client holds (in HTTP its ETag), and `key` is the
-        client's idempotency key; both are None if the client sent none.
+        client's idempotency key; both are None if the client sent none. A `single_use` request is refused
+        only on proof that no store has run it, whatever the effect of its class: it was permitted by a token
+        that a refusal makes valid again, and stores would not recognize the client's next request as a
+        repeat of this one.
         Raises DuplicateRequest for a request id that is already known, and TooManyOpenRequests if no more
         requests can be accepted.
         """
@@ -258,6 +264,7 @@
             now + time_budget_ns,
             now + request_class.aim_ns + int(transfer_allowance_ns),
             key,
+            single_use=single_use,
         )
         # Guards against a Router or planner that loses track of a request: this timer answers it shortly
         # after its deadline.
@@ -525,17 +532,7 @@
         """Answers a request with a refusal if `wait_ns`, the time after which the client may retry, is given
         and a repeat by the client can do no harm; else with a failure.
         """
-        # A request that may have run and must not run twice is never refused, because the client would send
-        # it again.
-        possibly_run = entry.may_have_run or any(a.sent for a in entry.open_attempts.values())
-        effect = self._effect(entry)
-        repeat_is_safe = (
-            effect is interface.Effect.IDEMPOTENT
-            or not possibly_run
-            or effect is interface.Effect.DEDUPLICATED
-            and entry.request_class.key_scope is interface.Scope.ALL
-        )
-        if wait_ns is not None and repeat_is_safe:
+        if wait_ns is not None and self._client_may_repeat(entry):
             self.outcomes[entry.request_event.cls][1] += 1
             entry.reply.refused(wait_ns)
         else:
@@ -543,6 +540,17 @@
             entry.reply.failed(self._timers.now() >= entry.deadline - DEADLINE_GRACE_NS)
         self._close(entry)
 
+    def _client_may_repeat(self, entry: RequestEntry) -> bool:
+        """Returns whether it does no harm if the client, after a refusal, sends the request again."""
+        if not entry.may_have_run and not any(a.sent for a in entry.open_attempts.values()):
+            return True
+        if entry.single_use:
+            return False
+        effect = self._effect(entry)
+        return effect is interface.Effect.IDEMPOTENT or (
+            effect is interface.Effect.DEDUPLICATED and entry.request_class.key_scope is interface.Scope.ALL
+        )
+
     def _close(self, entry: RequestEntry) -> None:
         """Marks a request as closed and cancels its attempts. Its entry is removed after
         CLOSED_RETENTION_NS.
--- a/olivecourse/fronts/listener.py
+++ b/olivecourse/fronts/listener.py
@@ -52,11 +52,13 @@
         held_tag: str | None,
         reply: Any,
         key: str | None = None,
+        single_use: bool = False,
     ) -> None:
         """Accepts a request, which then gets exactly one answer through `reply`.
 
         `held_tag` is the version tag of the copy that the client holds, `key` the client's idempotency key;
-        both are None if the client sent none. Raises `DuplicateRequest` or `TooManyOpenRequests` if it does
+        both are None if the client sent none. A `single_use` request is refused only on proof that no store
+        has run it. Raises `DuplicateRequest` or `TooManyOpenRequests` if it does
         not accept the request.
         """
         ...
--- a/olivecourse/fronts/signed.py
+++ b/olivecourse/fronts/signed.py
@@ -75,7 +75,8 @@
     def refused(self, wait_ns: int) -> None:
         """Sends a 503 with `wait_ns` as Retry-After in whole seconds (at least 1).
 
-        Makes the order token of a write valid again, since the write has not run.
+        Makes the order token of a write valid again: the core refuses a write, which it accepts as
+        `single_use`, only if no store has run it.
         """
         if self.mark is not None:
             self._client.front.tokens.spent.release(self.mark)
@@ -225,7 +226,7 @@
     ) -> None:
         self.open_request = request_event.request
         try:
-            self.front.core.accept(request_event, body, held_tag, reply)
+            self.front.core.accept(request_event, body, held_tag, reply, single_use=reply.mark is not None)
         except (TooManyOpenRequests, DuplicateRequest):
             self.front.core.record_rejection(request_event.cls)
             reply.refused(self.front.wait_ns)
