Wait for a late answer of discovery on its connection, and poll on another one meanwhile

Cause: one limit, 0.7 s beyond the wait asked for, answered two questions, whether an answer is late and whether its connection is dead. The client closed the connection and began again with the same limit, so an answer that was always later was thrown away each time. A longer limit alone would let a connection that is cut off without a word go unnoticed.

Change: after that limit an answer counts as late; the client polls on a further connection and keeps the late one for 7 s. Events that another answer has delivered are passed over. A late connection is closed once its answer has come, if another is established. `discovery_response_late` is logged.

test_the_poll_is_not_repeated_at_once_after_a_malformed_discovery_answer announced 4 bytes and sent 3, so it tested an answer that never ends, which is late now and not malformed.

--- a/olivecourse/discovery/event_stream.py
+++ b/olivecourse/discovery/event_stream.py
@@ -225,6 +225,10 @@
         self._bytes = 0
         self._held_events: list[Any] = []
 
+    def advance(self, rev: int) -> None:
+        """Skips events up to the number `rev`, which have been used from another response meanwhile."""
+        self.rev = max(self.rev, rev)
+
     def feed(self, data: bytes) -> list[Any]:
         """Parses a chunk of the response and returns the events to use now, in ascending order of their
         numbers.
--- a/olivecourse/net/discovery_client.py
+++ b/olivecourse/net/discovery_client.py
@@ -2,6 +2,10 @@
 
 The server's events (for example drains and purges) are numbered. The client delivers each event once, in the
 order of the numbers.
+
+A response that does not come may be late, or its connection may have been cut off without a reset; nothing
+distinguishes the two. The client therefore waits for a late response on its connection and polls on another
+one meanwhile. Whichever responds first delivers the events.
 """
 
 from __future__ import annotations
@@ -25,9 +29,14 @@
 # connection lost without a reset is noticed well before 7 s, after which purges and drains count as known to
 # every gateway.
 LONG_POLL_WAIT_MS = 1_500
-RESPONSE_TIMEOUT_NS = 700 * MS  # limit for a response, added to the wait requested
+# A response counts as late after this time, added to the wait requested; the client then polls on another
+# connection as well.
+RESPONSE_TIMEOUT_NS = 700 * MS
+# A late response is given up after this time, added to the wait requested, and its connection is closed. From
+# then on, what the server has to tell counts as known in any case.
+LATE_RESPONSE_TIMEOUT_NS = 7_000 * MS
 # When the response timer expires, a response that has delivered at least this many bytes since the timer was
-# set goes on with a new timer; one that has delivered less is given up and the connection is closed.
+# set goes on with a new timer.
 MIN_PROGRESS_BYTES = 1_024
 CONNECT_TIMEOUT_NS = 400 * MS
 # Backoff before reconnecting to a single discovery address: the initial value, doubled after each failure up
@@ -48,7 +57,10 @@
         self.parser = httptools.HttpResponseParser(self)
         self.reader = ResponseReader(client.rev)
         self.response_pending = False  # a poll was sent and its response is not complete yet
+        self.late = False  # the response is late, and the client polls on another connection
+        self.rev_at_poll = client.rev  # the number of the last event delivered when the poll was sent
         self._poll_sent_at = 0
+        self._give_up_at = 0  # when a late response is given up
         self._previous_had_events = False  # the latest complete response on this connection had events
         self.failure = ""  # why this connection must be closed, or an empty text
         self._received_bytes = 0  # bytes of response body since `response_timer` was set
@@ -59,16 +71,18 @@
         self.response_timer = self.loop.after(CONNECT_TIMEOUT_NS, self._on_timeout)
 
     def _on_timeout(self) -> None:
-        if self._received_bytes < MIN_PROGRESS_BYTES:
+        if self._received_bytes >= MIN_PROGRESS_BYTES:
+            self._await_response(RESPONSE_TIMEOUT_NS)  # a long response is still arriving
+        elif self.connecting or self.late:
             self.close("no answer in time")
-        else:  # a long response is still arriving: give it another RESPONSE_TIMEOUT_NS
-            self._await_response(0)
+        else:
+            self.late = True
+            self._await_response(self._give_up_at - self.loop.clock.now())
+            self.client.on_late_response(self)
 
-    def _await_response(self, wait_ms: int) -> None:
-        # Sets the timer that closes the connection if no response arrives. It guards against a discovery
-        # server that is cut off without a reset, whose connection would stay open forever.
+    def _await_response(self, timeout_ns: int) -> None:
         self._received_bytes = 0
-        self.response_timer = self.loop.after(wait_ms * MS + RESPONSE_TIMEOUT_NS, self._on_timeout)
+        self.response_timer = self.loop.after(timeout_ns, self._on_timeout)
 
     def opened(self) -> None:
         self.poll()
@@ -78,12 +92,12 @@
         if not self.open:
             return
         self.response_timer.cancel()
-        self._poll_sent_at = self.loop.clock.now()
         host, port = self.address
-        # Until the client has read its first response, the server is asked to answer at once, since that
-        # response shows that discovery is reachable.
-        wait_ms = LONG_POLL_WAIT_MS if self.client.answered else 0
-        self._await_response(wait_ms)
+        wait_ms = self.client.wait_ms(first=not self._poll_sent_at)
+        self._poll_sent_at = self.loop.clock.now()
+        self._give_up_at = self._poll_sent_at + wait_ms * MS + LATE_RESPONSE_TIMEOUT_NS
+        self._await_response(wait_ms * MS + RESPONSE_TIMEOUT_NS)
+        self.rev_at_poll = self.client.rev
         self.reader, self.response_pending = ResponseReader(self.client.rev), True
         self.write(
             f"GET /board/poll?watch={self.client.rev}&linger={wait_ms}{self.client.query()} HTTP/1.1\r\n"
@@ -110,6 +124,7 @@
         if self.failure or not self.open:
             return
         self._received_bytes += len(data)
+        self.reader.advance(self.client.rev)
         self.client.deliver(self.reader, self.reader.feed(data))
         self._check_reader()
 
@@ -119,14 +134,18 @@
             return
         self.response_pending = False
         self.response_timer.cancel()
+        self.reader.advance(self.client.rev)
         self.client.deliver(self.reader, self.reader.finish())
         self._check_reader()
         if self.failure:
             return
-        self.client.on_response(self.reader)
+        self.client.on_response(self)
         if not self.parser.should_keep_alive():
             self.failure = "closed after its answer"
+        elif self.late and not self.client.resume(self):
+            self.failure = "answered late"
         elif self.open:
+            self.late = False
             self._schedule_poll()
 
     def _schedule_poll(self) -> None:
@@ -154,9 +173,10 @@
 
 
 class DiscoveryClient:
-    """Keeps one connection to one of several discovery addresses, polls it and delivers each new event.
+    """Keeps a connection to one of several discovery addresses, polls it and delivers each new event.
 
-    After a lost connection it reconnects with a backoff, possibly to another address.
+    After a lost connection it reconnects with a backoff, possibly to another address. While a response is
+    late it does so as well, and keeps the late connection until LATE_RESPONSE_TIMEOUT_NS.
     """
 
     def __init__(
@@ -197,6 +217,7 @@
         self.answered = False  # whether this client has ever read a whole response
         self._delivering = False  # whether `deliver` is at work
         self.stream: PollStream | None = None
+        self._late_streams: list[PollStream] = []  # connections whose responses are late
         self._timer: Timer | None = None  # the timer of the next connection attempt
         self._connect()
 
@@ -230,9 +251,9 @@
             return
         self._switch_to(selected)
         self._backoff_ns = RECONNECT_BACKOFF_NS
-        old, self.stream = self.stream, None
-        if old is not None:
-            old.close("discovery address changed")
+        old, self.stream = self._streams(), None
+        for stream in old:
+            stream.close("discovery address changed")
         if self._timer is not None:
             self._timer.cancel()
         self._connect()
@@ -253,20 +274,59 @@
 
         Does nothing while events are being delivered.
         """
-        stream = self.stream
-        if stream is not None and not stream.connecting and not self._delivering:
-            stream.read_ahead()
+        if self._delivering:
+            return
+        for stream in self._streams():
+            if stream.open and not stream.connecting:
+                stream.read_ahead()
+
+    def _streams(self) -> list[PollStream]:
+        """All connections: those with late responses, the oldest first, and the one in use."""
+        return [*self._late_streams, *([] if self.stream is None else [self.stream])]
+
+    def wait_ms(self, first: bool) -> int:
+        """Returns for how many milliseconds the server is asked to hold a poll, which may be the first one on
+        its connection.
+
+        Until the client has read its first response, the server is asked to answer at once, since that
+        response shows that discovery is reachable. While a response is late, an answer at once tells whether
+        the server or only the connection is at fault.
+        """
+        return 0 if not self.answered or (first and self._late_streams) else LONG_POLL_WAIT_MS
+
+    def on_late_response(self, stream: PollStream) -> None:
+        """Called when a response is late; its connection stays open, and another one is opened."""
+        self._late_streams.append(stream)
+        self.stream = None
+        self._log("discovery_response_late", late=len(self._late_streams))
+        self._timer = self.loop.after(self._retry_delay_ns(), self._connect)
+
+    def resume(self, stream: PollStream) -> bool:
+        """Called when a late response has been read. Returns whether its connection is polled further, which
+        makes it the one in use: unless another one is established, or another address has been chosen.
+        """
+        self._late_streams.remove(stream)
+        if stream.address != self.address or (self.stream is not None and not self.stream.connecting):
+            return False
+        replaced, self.stream = self.stream, stream
+        if replaced is not None:
+            replaced.close("not needed")
+        if self._timer is not None:
+            self._timer.cancel()
+        return True
 
-    def on_response(self, reader: ResponseReader) -> None:
+    def on_response(self, stream: PollStream) -> None:
         """Called when a response has been read to its end without error; resets the backoff."""
         self._backoff_ns = RECONNECT_BACKOFF_NS
-        self.answered = self._connection_answered = True
-        if self._upstreams is not None:
-            self._upstreams.succeeded()
+        self.answered = True
+        if stream is self.stream:
+            self._connection_answered = True
+            if self._upstreams is not None:
+                self._upstreams.succeeded()
         # The revision number of a whole response may be above that of its last event, so `rev` follows the
-        # events only. A response without events and with a lower revision than `rev` is logged.
-        if reader.empty and reader.revision < self.rev:
-            self._log("discovery_revision_decreased", rev=reader.revision, held=self.rev)
+        # events only. A response without events and with a lower revision than asked for is logged.
+        if stream.reader.empty and stream.reader.revision < stream.rev_at_poll:
+            self._log("discovery_revision_decreased", rev=stream.reader.revision, held=stream.rev_at_poll)
 
     def on_invalid_response(self, reader: ResponseReader) -> None:
         """Called when a response cannot be parsed; logs it, and the caller then closes the connection."""
@@ -274,6 +334,8 @@
 
     def on_disconnect(self, stream: PollStream | None, why: str) -> None:
         """Called when a connection is closed or cannot be opened; schedules the next connection attempt."""
+        if stream is not None and stream in self._late_streams:
+            self._late_streams.remove(stream)
         if self._stopped or stream is not self.stream:
             return
         self.stream = None
@@ -298,7 +360,7 @@
             self.address_since_ns = self.loop.clock.now()
 
     def stop(self) -> None:
-        """Closes the connection and never reconnects."""
+        """Closes all connections and never reconnects."""
         self._stopped = True
-        if self.stream is not None:
-            self.stream.close()
+        for stream in self._streams():
+            stream.close()
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -384,7 +384,7 @@
 @with_board
 def test_the_poll_is_not_repeated_at_once_after_a_malformed_discovery_answer(harness):
     harness.until(lambda: b"watch=1&" in harness.board.poll())
-    harness.board.send(b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n{"r')
+    harness.board.send(b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{"r')
     harness.until(lambda: "discovery_disconnected" in harness.event_names())
     assert harness.board.poll().count(b"GET ") == 1
     harness.until(lambda: harness.board.poll().count(b"GET ") == 2)
