Bound what unfinished requests occupy over all clients, and close them before idle ones

Cause: bytes sent were limited, for each client, not the memory held by all. A head of 16 KB takes over 1 MB as a table of 5,400 fields; a field without an end was not counted until its end; closed connections kept their memory until the garbage collector ran. A connection with an unfinished request was never closed for a new client, an idle one was.

Change: the listener adds up what clients occupy before their requests reach the core, by allocated memory. Above an eighth of the memory limit unfinished connections are closed, the largest first, then waiting requests are refused. Bodies of open requests have an eighth too. A head has 64 fields at most, and all that is not body counts. For a new client, an unfinished connection goes before an idle one, and clients without a response take at most half of the places. No address is looked at.

--- a/benchmarks/_capacity_memory.py
+++ b/benchmarks/_capacity_memory.py
@@ -165,7 +165,12 @@
         self.loop = Loop()
         router_settings = settings(seed)
         tracker = RequestTracker(
-            router_settings, LoopTimers(self.loop), lambda event: None, _silent, max_open_requests=16
+            router_settings,
+            LoopTimers(self.loop),
+            lambda event: None,
+            _silent,
+            max_open_requests=16,
+            max_body_bytes=2**20,
         )
         limits = ConnectionLimits(5_000 * MS, 60_000 * MS, 100, 24, 4096)
         self.directory = directory(seed)
--- a/benchmarks/_hollow.py
+++ b/benchmarks/_hollow.py
@@ -95,7 +95,12 @@
         self.bookkeeping_ns = 0  # thread time of the benchmark's own work, to be subtracted from costs
         settings = self.config.settings
         self.tracker = RequestTracker(
-            settings, LoopTimers(self.loop), self.batch.append, self.log, max_open_requests=MOST_OPEN
+            settings,
+            LoopTimers(self.loop),
+            self.batch.append,
+            self.log,
+            max_open_requests=MOST_OPEN,
+            max_body_bytes=2**20,
         )
         self.control = ControlPlane(
             self.loop, self.config, self.tracker, self.batch.append, self._server_terminated, self.log
--- a/olivecourse/core/requests.py
+++ b/olivecourse/core/requests.py
@@ -95,7 +95,7 @@
 
 
 class TooManyOpenRequests(Exception):
-    """Raised for a new request when the limit of open requests is reached, or when the gateway is about to
+    """Raised for a new request when a limit of open requests is reached, or when the gateway is about to
     stop and has no time left to answer the request.
     """
 
@@ -166,10 +166,13 @@
         emit: Callable[[interface.Event], None],
         log: Callable[..., None],
         max_open_requests: int,
+        max_body_bytes: int,
     ) -> None:
         """Creates a tracker that passes its events for the planner to `emit` and accepts at most
-        `max_open_requests` open requests at a time.
+        `max_open_requests` open requests at a time, whose bodies have at most `max_body_bytes` together.
         """
+        self._max_body_bytes = max_body_bytes
+        self.body_bytes = 0  # of all open requests
         self._settings, self._timers, self._emit, self._log, self._max_open_requests = (
             settings,
             timers,
@@ -244,7 +247,11 @@
         """
         if request_event.request in self.entries:
             raise DuplicateRequest(request_event.request)
-        if self.open >= self._max_open_requests or self.closing:
+        if (
+            self.open >= self._max_open_requests
+            or self.body_bytes + len(body) > self._max_body_bytes
+            or self.closing
+        ):
             raise TooManyOpenRequests(str(self.open))
         request_class = self._settings.classes[request_event.cls]
         time_budget_ns = (
@@ -273,6 +280,7 @@
         )
         self.entries[request_event.request] = entry
         self.open += 1
+        self.body_bytes += len(body)
         self.accepted += 1
         self._emit(request_event)
 
@@ -556,6 +564,7 @@
         CLOSED_RETENTION_NS.
         """
         entry.closed = True
+        self.body_bytes -= len(entry.body)
         entry.body = b""
         self.open -= 1
         if entry.deadline_timer is not None:
--- a/olivecourse/fronts/listener.py
+++ b/olivecourse/fronts/listener.py
@@ -31,6 +31,11 @@
 # A connection that is new, or idle, for less than this time is closed for a new client only if no other can
 # be, since its client may be about to send a request.
 MIN_EVICTION_AGE_NS = 100 * MS
+# A connection that has never carried a whole request may be closed for a new client once a request has been
+# arriving on it for this time.
+MIN_FIRST_REQUEST_AGE_NS = 20 * MS
+MAX_EVICTION_CANDIDATES = 8  # connections of a group that are looked at for one that may be closed
+MAX_UNFINISHED_CANDIDATES = 64  # the same of those on which a request arrives
 LINGER_NS = 500 * MS  # how long `Client.linger` waits for the client to close its side
 ACCEPT_RETRY_NS = 50 * MS  # pause in accepting after no file descriptor was free
 
@@ -118,6 +123,7 @@
         self.frames_pending = False  # complete frames are left in the inbox for a later turn
         self._client_address: int | None = None
         self.lingers = False  # in a lingering close: data that still arrives is discarded
+        self.counted_bytes = 0  # the `held_bytes` that the listener has counted last
         super().__init__(front.loop, sock, most_in, most_out, deferrable=True)
 
     def load(self) -> int:
@@ -170,6 +176,15 @@
             self.close("closed by the other side")
         elif len(self.inbox):
             self.process_inbox()
+            self.inbox.shrink()
+            self.listener.count_held_bytes(self)
+
+    def held_bytes(self) -> int:
+        """Returns the memory in bytes that the connection's unfinished or waiting requests occupy."""
+        return self.inbox.capacity
+
+    def refuse_waiting_requests(self) -> None:
+        """Frees the memory of requests that have not been handed to the core; each is refused in its turn."""
 
     def process_inbox(self) -> None:
         """Calls `received` for the data read; closes the connection if the inbox is still full afterwards."""
@@ -250,6 +265,14 @@
 
     def closed(self, why: str) -> None:
         self.listener.remove_client(self)
+        self.loop.after(0, self.release_memory)  # not at once: the close may come from within a read
+
+    def release_memory(self) -> None:
+        """Frees the memory of a closed connection. The garbage collector, which would free it as well if the
+        object is part of a reference cycle, runs seldom.
+        """
+        self.inbox.release()
+        self.outbox.release()
 
 
 class Listener:
@@ -258,6 +281,9 @@
     At that limit, one connection without an open request is closed for a new client, in the order given at
     `evict_client`; if all connections have open requests, the new one is closed. This guards against hundreds
     of connections that send nothing, or send one request and stay open.
+
+    The memory that all clients together occupy is limited as well, in each direction: by responses that they
+    do not read, and by requests that are unfinished or wait for their turn.
     """
 
     def __init__(
@@ -275,7 +301,8 @@
     ) -> None:
         """`classes` maps the name of a request class to its number and whether it writes. `wait_ns` is the
         retry delay sent when the server itself refuses a request. `max_unread_bytes` limits the response
-        bytes that all clients together have not accepted yet.
+        bytes that all clients together have not accepted yet, and also the memory that their requests occupy
+        before they are handed to the core.
 
         `shared` lets other processes listen at `address` (SO_REUSEPORT). `sock` is a socket that listens
         already, possibly also in another process, and is used in place of `address`.
@@ -296,6 +323,9 @@
         # to the load.
         self._single_request_clients: dict[Client, int] = {}
         self._idle_clients: dict[Client, int] = {}
+        # Clients without an open request whose next request has arrived in part, the longest first.
+        self._unfinished_clients: dict[Client, None] = {}
+        self._held_bytes = 0  # sum of the `counted_bytes` of all clients
         self._sock = listen(address, shared) if sock is None else sock
         self._sock.setblocking(False)
         self.port: int = self._sock.getsockname()[1]
@@ -396,6 +426,8 @@
         The groups are: no response yet, one valid request, several. A client with an open request is in none.
         """
         self._remove_from_groups(client)
+        self._update_unfinished(client)
+        self._update_held_bytes(client)
         if client.open and not client.lingers and not client.load():
             if self.draining:
                 self.loop.after(0, lambda: self._close_if_idle(client))
@@ -413,28 +445,68 @@
         self._single_request_clients.pop(client, None)
         self._idle_clients.pop(client, None)
 
+    def _update_unfinished(self, client: Client) -> None:
+        """Notes whether a request of the client arrives and no other one is open."""
+        arriving = client.open and not client.lingers and client.incomplete_since and not client.load()
+        if not arriving or client.frames_pending:
+            self._unfinished_clients.pop(client, None)
+        elif client not in self._unfinished_clients:
+            self._unfinished_clients[client] = None
+
+    def count_held_bytes(self, client: Client) -> None:
+        """Counts the memory that a client's requests occupy, after bytes of it have been processed.
+
+        Above the limit, connections with an unfinished request are closed, those that occupy the most first;
+        if that is not enough, the client's waiting requests are refused. This guards against hundreds of
+        clients that write slowly, or stop within a request.
+        """
+        self._update_unfinished(client)
+        self._update_held_bytes(client)
+        while self._held_bytes > self._max_unread_bytes and self._unfinished_clients:
+            largest = max(self._unfinished_clients, key=lambda c: c.counted_bytes)
+            self.log("client_request_unfinished", held=largest.counted_bytes)
+            largest.close("request not complete")
+        if self._held_bytes > self._max_unread_bytes and client.open:
+            client.refuse_waiting_requests()
+            self._update_held_bytes(client)
+
+    def _update_held_bytes(self, client: Client) -> None:
+        held_bytes = client.held_bytes() if client in self.clients else 0
+        self._held_bytes += held_bytes - client.counted_bytes
+        client.counted_bytes = held_bytes
+
     def mark_lingering(self, client: Client) -> None:
         """Called when a client's lingering close begins; `evict_client` closes such connections first."""
         self._remove_from_groups(client)
+        self._unfinished_clients.pop(client, None)
         self._lingering[client] = None
 
     def remove_client(self, client: Client) -> None:
         """Stops counting a client, whose connection is closed or has been handed over to another process."""
         self._remove_from_groups(client)
         self._lingering.pop(client, None)
+        self._unfinished_clients.pop(client, None)
         self.clients.discard(client)
+        self._update_held_bytes(client)
 
     def evict_client(self) -> bool:
         """Closes one connection to free its place; returns False if there was none to close.
 
-        The order is: connections in a lingering close; those without any response; those idle after one valid
-        request; other idle ones, each time the oldest first. Connections that are new, or idle, for less than
-        MIN_EVICTION_AGE_NS come last; among these, new ones come after idle ones. Those with open requests
-        are never closed.
+        The order is: connections in a lingering close; those on which a request has been arriving for some
+        time and is not complete; those without any response; those idle after one valid request; other idle
+        ones, each time the oldest first. Connections that are new, or idle, for less than MIN_EVICTION_AGE_NS
+        come last; among these, new ones come after idle ones. Those with open requests are never closed.
+
+        Clients without any response hold at most half of the places if others want them: above that, only
+        one of them is closed, however new it is.
         """
         for client in self._lingering:
             client.close("replaced by another client")
             return True
+        if self._evict_unfinished():
+            return True
+        if len(self._new_clients) > self._max_clients // 2:
+            return self._evict_new_client()
         eviction_cutoff = self.loop.clock.now() - MIN_EVICTION_AGE_NS
         for groups, cutoff in (
             ((self._new_clients, self._single_request_clients, self._idle_clients), eviction_cutoff),
@@ -444,13 +516,38 @@
             ),
         ):
             for group in groups:
-                for client in list(islice((c for c, idle_since in group.items() if idle_since <= cutoff), 8)):
+                old_enough = (c for c, idle_since in group.items() if idle_since <= cutoff)
+                for client in list(islice(old_enough, MAX_EVICTION_CANDIDATES)):
                     if client.is_idle():  # False if a request of the client has just arrived
                         client.close("replaced by another client")
                     if not client.open:
                         return True
         return False
 
+    def _evict_unfinished(self) -> bool:
+        """Closes a connection whose request has been arriving for MIN_EVICTION_AGE_NS, or for
+        MIN_FIRST_REQUEST_AGE_NS if it is the first one; returns False if there is none.
+        """
+        now = self.loop.clock.now()
+        for client in list(islice(self._unfinished_clients, MAX_UNFINISHED_CANDIDATES)):
+            min_age_ns = MIN_EVICTION_AGE_NS if client.request_count else MIN_FIRST_REQUEST_AGE_NS
+            # What waits unread may be the rest of the request.
+            if now - client.incomplete_since < min_age_ns or client.has_unread_input():
+                continue
+            client.close("replaced by another client")
+            return True
+        return False
+
+    def _evict_new_client(self) -> bool:
+        """Closes the oldest connection without any response of which nothing waits unread; returns False if
+        there is none.
+        """
+        for client in list(islice(self._new_clients, MAX_UNFINISHED_CANDIDATES)):
+            if not client.has_unread_input():
+                client.close("replaced by another client")
+                return True
+        return False
+
     def _sweep(self) -> None:
         """Every SWEEP_NS, closes connections that have exceeded a timeout.
 
--- a/olivecourse/fronts/signed.py
+++ b/olivecourse/fronts/signed.py
@@ -26,6 +26,10 @@
 
 MS = 1_000_000
 MAX_HEAD_BYTES = 16_384  # of a request's target, header names and header values together
+MAX_HEADERS = 64  # of a request
+# Of a request, the bytes that are not its body: the head, and what separates the chunks of a chunked body.
+MAX_FRAMING_BYTES = 98_304
+HEADER_MEMORY_BYTES = 256  # that a header occupies beyond its bytes
 MAX_PIPELINED_REQUESTS = 8  # per connection, that wait until the requests before them are answered
 REASONS = {
     200: "OK",
@@ -50,7 +54,20 @@
         self.headers: dict[str, str] = {}
         self.body = bytearray()
         self.head_bytes = 0
+        self.received_bytes = 0  # including the reads in which the request began, as a whole
+        self.body_bytes = 0  # including those that were dropped
         self.has_duplicate_header = False
+        self.refused = False  # its contents were dropped for lack of memory
+
+    def held_bytes(self) -> int:
+        """Returns about how much memory the request occupies, in bytes."""
+        return self.head_bytes + len(self.headers) * HEADER_MEMORY_BYTES + len(self.body)
+
+    def refuse(self) -> None:
+        """Drops the contents; the request is refused when its turn comes."""
+        self.refused = True
+        self.headers, self.body = {}, bytearray()
+        self.head_bytes = 0
 
 
 class SignedReply:
@@ -103,12 +120,25 @@
         self.busy = False
         self.queue: deque[HttpRequest] = deque()
         self.http_request = HttpRequest()
-        self.parser = httptools.HttpRequestParser(self)
+        self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         super().__init__(front, sock, 65_536, 2**20)
 
     def load(self) -> int:
         return int(self.busy) + len(self.queue)
 
+    def held_bytes(self) -> int:
+        arriving = self.http_request
+        # The parser itself holds the part of a header that has arrived.
+        parser_bytes = arriving.received_bytes - arriving.body_bytes if self.incomplete_since else 0
+        waiting_bytes = sum(http_request.held_bytes() for http_request in self.queue)
+        return self.inbox.capacity + parser_bytes + arriving.held_bytes() + waiting_bytes
+
+    def refuse_waiting_requests(self) -> None:
+        for http_request in self.queue:
+            http_request.refuse()
+        if self.incomplete_since:
+            self.http_request.refuse()
+
     # Callbacks of the httptools parser ---------------------------------------------------------------
 
     def on_message_begin(self) -> None:
@@ -124,6 +154,10 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Called by the parser with each header; notes a repeated header that must be unique."""
         self._count_head_bytes(len(name) + len(value))
+        if self.http_request.refused:
+            return
+        if len(self.http_request.headers) >= MAX_HEADERS:
+            raise ValueError("too many headers")
         key = name.decode("latin-1").lower()
         # Of two Authorization, Host or If-None-Match headers, it is ambiguous which applies; such a request
         # is refused by `parse_request`.
@@ -140,16 +174,20 @@
         When the body exceeds MAX_WRITE_BYTES, further parts are dropped; `parse_request` then refuses the
         request.
         """
-        if len(self.http_request.body) <= MAX_WRITE_BYTES:
+        self.http_request.body_bytes += len(part)
+        if len(self.http_request.body) <= MAX_WRITE_BYTES and not self.http_request.refused:
             self.http_request.body += part
 
     def on_message_complete(self) -> None:
         """Called by the parser at the end of a request, which then waits in the queue for its turn."""
+        if self.parser is None:
+            return
         self.http_request.method = self.parser.get_method().decode("ascii")
         self.http_request.keep_alive = self.parser.should_keep_alive()
         if len(self.queue) >= MAX_PIPELINED_REQUESTS:
             raise ValueError("too many requests at once")
         self.queue.append(self.http_request)
+        self.http_request = HttpRequest()
         self.incomplete_since = 0
 
     def _count_head_bytes(self, count: int) -> None:
@@ -159,9 +197,20 @@
 
     # -------------------------------------------------------------------------------------------------
 
+    def _count_framing_bytes(self, count: int) -> None:
+        """Counts bytes given to the parser, of which it may hold a part of a header without an end."""
+        arriving = self.http_request
+        arriving.received_bytes += count
+        if self.incomplete_since and arriving.received_bytes - arriving.body_bytes > MAX_FRAMING_BYTES:
+            raise ValueError("head too long")
+
     def received(self) -> None:
+        if self.parser is None:
+            return
+        data = self.inbox.take(len(self.inbox))
         try:
-            self.parser.feed_data(self.inbox.take(len(self.inbox)))
+            self.parser.feed_data(data)
+            self._count_framing_bytes(len(data))
         except (httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError) as error:
             self.front.log("client_bad_http", why=type(error).__name__)
             if self.busy:
@@ -180,6 +229,9 @@
 
     def _start_request(self, http_request: HttpRequest) -> None:
         """Checks a request and passes it to the core; a write waits until its token is recorded."""
+        if http_request.refused:
+            self.answer(503, b"", ["Retry-After: 1"], http_request.keep_alive)
+            return
         try:
             reply, request_event, body, held_tag = self.front.parse_request(self, http_request)
         except BadRequest as bad_request:
@@ -258,6 +310,12 @@
         else:
             self.linger("answered")
 
+    def release_memory(self) -> None:
+        super().release_memory()
+        self.parser = None  # the parser refers to this object
+        self.queue.clear()
+        self.http_request = HttpRequest()
+
     def closed(self, why: str) -> None:
         super().closed(why)
         request, self.open_request = self.open_request, None
--- a/olivecourse/gateway.py
+++ b/olivecourse/gateway.py
@@ -90,7 +90,12 @@
         self.started = loop.clock.now()
         self.conf_loaded, self.conf_invalid = 1, 0
         self.tracker = RequestTracker(
-            settings, LoopTimers(loop), self.batch.append, log, max_open_requests=4096
+            settings,
+            LoopTimers(loop),
+            self.batch.append,
+            log,
+            max_open_requests=4096,
+            max_body_bytes=config.memory_mb * 2**20 // 8,
         )
         self.control = ControlPlane(
             loop, config, self.tracker, self.batch.append, self._on_server_terminated, log
@@ -169,10 +174,10 @@
         self.log("loop_fault", where=where, error=repr(error))
 
     def _client_limits(self, sockets: int) -> tuple[int, int]:
-        """Returns the maximum number of client connections, and the maximum number of answer bytes that
-        clients have not read yet, for a process that may use `sockets` file descriptors. The second is an
-        eighth of the configured memory, reduced in proportion if `sockets` is less than this process may use
-        by itself.
+        """Returns the maximum number of client connections, and the maximum number of bytes that clients
+        occupy in each direction (answers that they have not read yet, requests that are unfinished or wait),
+        for a process that may use `sockets` file descriptors. The second is an eighth of the configured
+        memory, reduced in proportion if `sockets` is less than this process may use by itself.
         """
         config = self.config
         max_unread_bytes = config.memory_mb * 2**20 // 8 * sockets // max(self.sockets, 1)
--- a/olivecourse/net/ring_buffer.py
+++ b/olivecourse/net/ring_buffer.py
@@ -91,6 +91,10 @@
         if not self._size and len(self._data) > INITIAL_CAPACITY:
             self._data, self._head = bytearray(INITIAL_CAPACITY), 0
 
+    def release(self) -> None:
+        """Drops all bytes and frees the memory; nothing may be appended afterwards."""
+        self._data, self._head, self._size, self.limit = bytearray(), 0, 0, 0
+
     def skip(self, count: int) -> None:
         """Removes the first `count` bytes; `count` must not exceed the number of bytes in the buffer."""
         self._size -= count
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -455,7 +455,12 @@
     answers, attempts = Answers(), []
     quiet = SimpleNamespace(emit=lambda event: None, log=lambda event, **v: None)
     tracker = RequestTracker(
-        make_settings(classes=classes), StoppedTimers(), quiet.emit, quiet.log, max_open_requests=4
+        make_settings(classes=classes),
+        StoppedTimers(),
+        quiet.emit,
+        quiet.log,
+        max_open_requests=4,
+        max_body_bytes=2**20,
     )
     tracker.transport = SimpleNamespace(send=attempts.append, abort=lambda attempt: None)
     for operation, n, status in steps:
