Know an order's id after its client has left, and in the other process of an upgrade

Cause: the tracker knows an id for as long as it has the request's entry, 2 s beyond the end, a time that was chosen for late actions of the planner. And each of the two processes of an upgrade has a tracker of its own.

Change: ids of requests that may have run and must not run again are kept for 15 minutes, 32,768 at most. Processes of a gateway tell each other the id before they accept such a request, and then read what the other has told, so that of two at least one knows; a new process gets the ids that are known at its start. Where the other can't be told the request is refused, unsent. What arrives behind the reply to a new process's greeting is no longer dropped.

--- a/olivecourse/components.py
+++ b/olivecourse/components.py
@@ -219,6 +219,7 @@
             config.tmpdir,
             config.name,
             admin_component.handlers,
+            gateway.tracker,
             gateway.share_descriptors,
             gateway.log,
         )
--- a/olivecourse/core/requests.py
+++ b/olivecourse/core/requests.py
@@ -7,17 +7,22 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 from olivecourse import interface
+from olivecourse.core.request_ids import RequestIdMemory
 from olivecourse.purge_table import PurgeTable
 
 MS = 1_000_000
 # How long the tracker remembers a request after its final answer, so that planner actions that arrive late
 # are recognized as concerning a closed request. The tracker also keeps each purge for this long.
 CLOSED_RETENTION_NS = 2_000 * MS
+# How long the tracker remembers the id of a request that may have run and must not run again, and how many
+# ids at most; they take about 10 MB. Clients use a new id for every request.
+EXECUTED_ID_RETENTION_NS = 900_000 * MS
+MAX_EXECUTED_IDS = 32_768
 EFFECTS_STRICTEST_FIRST = (
     interface.Effect.AT_MOST_ONCE,
     interface.Effect.DEDUPLICATED,
@@ -91,7 +96,9 @@
 
 
 class DuplicateRequest(Exception):
-    """Raised for a request id that the tracker already knows, from an open or a recently closed request."""
+    """Raised for a request id that the tracker already knows: from an open or a recently closed request, or
+    from one that may have run and must not run again.
+    """
 
 
 class TooManyOpenRequests(Exception):
@@ -181,6 +188,13 @@
             max_open_requests,
         )
         self.entries: dict[str, RequestEntry] = {}
+        # Ids of requests without an entry that may have run, here or in another process of this gateway, and
+        # must not run again.
+        self._executed = RequestIdMemory(EXECUTED_ID_RETENTION_NS, MAX_EXECUTED_IDS)
+        # Called with the id of a request that must not run twice, before it is accepted. Tells the gateway's
+        # other processes, and adds the ids that they have accepted by `add_executed`. May raise
+        # TooManyOpenRequests.
+        self.claim: Callable[[str], None] = lambda request: None
         self.open = 0
         self.transport: Transport | None = None
         self.closing = False  # Set shortly before the process stops; no request is accepted from then on.
@@ -254,6 +268,10 @@
         ):
             raise TooManyOpenRequests(str(self.open))
         request_class = self._settings.classes[request_event.cls]
+        if request_class.effect is not interface.Effect.IDEMPOTENT:
+            self.claim(request_event.request)
+            if request_event.request in self._executed:
+                raise DuplicateRequest(request_event.request)
         time_budget_ns = (
             request_class.deadline_ns if request_event.budget_ns is None else request_event.budget_ns
         )
@@ -284,6 +302,28 @@
         self.accepted += 1
         self._emit(request_event)
 
+    def add_executed(self, requests: Iterable[str]) -> None:
+        """Records ids of requests that another process of this gateway has accepted."""
+        self._executed.add(requests, self._timers.now())
+
+    def unrepeatable_ids(self) -> list[str]:
+        """Returns the ids of the requests that may run or have run here and must not run again."""
+        return [
+            *self._executed.ids(),
+            *(request for request, entry in self.entries.items() if self._must_not_run_again(entry)),
+        ]
+
+    def _must_not_run_again(self, entry: RequestEntry) -> bool:
+        may_run = not entry.closed or entry.may_have_run
+        return may_run and self._effect(entry) is not interface.Effect.IDEMPOTENT
+
+    def _forget(self, entry: RequestEntry) -> None:
+        """Removes the entry of a closed request, and remembers its id if it must not run again."""
+        request = entry.request_event.request
+        self.entries.pop(request, None)
+        if self._must_not_run_again(entry):
+            self._executed.add((request,), self._timers.now())
+
     def record_rejection(self, cls: int) -> None:
         """Counts a request of the class with index `cls` that a client listener refused without calling
         `accept`. It counts as accepted and as refused.
@@ -571,4 +611,4 @@
             entry.deadline_timer.cancel()
         for attempt in list(entry.open_attempts.values()):
             self._abort(attempt, interface.Status.CANCELLED)
-        self._timers.after(CLOSED_RETENTION_NS, lambda: self.entries.pop(entry.request_event.request, None))
+        self._timers.after(CLOSED_RETENTION_NS, lambda: self._forget(entry))
--- a/olivecourse/ops/handover_codec.py
+++ b/olivecourse/ops/handover_codec.py
@@ -40,6 +40,11 @@
     FORGET = 7  # from the successor {"conn", "number"}: the client has cancelled this request
     GONE = 8  # from the successor {"conn"}: the client has disconnected
     LOOK = 9  # from either: a manual drain began or ended, so the drain records have to be read again
+    # From either; raw: the id of a request that must not run twice, which the sender is about to accept.
+    CLAIM = 10
+    # From the predecessor, before LEARNED; raw: the ids of all such requests that it has accepted, separated
+    # by spaces.
+    KNOWN = 11
 
 
 WITH_SOCKET = 0x80  # the bit in the kind's byte that says that a file descriptor accompanies the message
--- a/olivecourse/ops/hot_restart.py
+++ b/olivecourse/ops/hot_restart.py
@@ -10,10 +10,11 @@
 import os
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 from olivecourse.choice import Router
+from olivecourse.core.requests import TooManyOpenRequests
 from olivecourse.fronts.listener import ConnectionState, Listener
 from olivecourse.fronts.thrift import ThriftClient, ThriftServer
 from olivecourse.memory.collect import IntervalRecorder
@@ -46,6 +47,20 @@
         ...
 
 
+class UnrepeatableRequests(Protocol):
+    """Knows the requests of this process that must not run twice. `RequestTracker` implements it."""
+
+    claim: Callable[[str], None]
+
+    def add_executed(self, requests: Iterable[str]) -> None:
+        """Records ids of requests that another process of this gateway has accepted."""
+        ...
+
+    def unrepeatable_ids(self) -> list[str]:
+        """Returns the ids of the requests that may run or have run here and must not run again."""
+        ...
+
+
 class RemoteConnection:
     """Sends messages about one transferred client connection to the process that sent or received it.
 
@@ -85,10 +100,12 @@
         folder: str,
         name: str,
         drains: DrainHolder,
+        requests: UnrepeatableRequests,
         on_limits_shared: Callable[[bool], None],
         log: Callable[..., None],
     ) -> None:
-        """`folder` is `$TMPDIR`, `name` the gateway's name, and `drains` holds the manual drains.
+        """`folder` is `$TMPDIR`, `name` the gateway's name, `drains` holds the manual drains, and `requests`
+        the requests that must not run twice.
 
         `on_limits_shared` is called with True when another process begins to share the gateway's limits on
         file descriptors, and, when a link to a process has closed, with whether one still shares them.
@@ -100,6 +117,8 @@
             on_limits_shared,
             log,
         )
+        self._requests = requests
+        requests.claim = self._claim
         self._process_record = ProcessRecord(folder, name, log)
         self._front: Listener | None = None
         self._router: Router | None = None
@@ -119,11 +138,13 @@
 
     def _contact_predecessor(self, token: str) -> None:
         try:
-            sock, self.listener, self._warm_state = request_handover(self._process_record.path("sock", token))
+            reply = request_handover(self._process_record.path("sock", token))
         except (OSError, BadMessage) as error:
             self._log("handover_unanswered", why=str(error))
             return
-        self._lineage.add_predecessor(Link(self._loop, sock, self, self._log))
+        self.listener, self._warm_state = reply.listener, reply.warm_state
+        self._requests.add_executed(_request_ids(reply.known_requests))
+        self._lineage.add_predecessor(Link(self._loop, reply.sock, self, self._log, reply.received))
 
     def configure_planner(self, router: Router) -> None:
         """Restores the learned state that the predecessor sent, if any, into the Router `router`, which has
@@ -164,6 +185,27 @@
         if predecessor is not None:
             predecessor.send(Message(Kind.READY))
 
+    # Requests that must not run twice -----------------------------------------------------------------
+
+    def _claim(self, request: str) -> None:
+        """Tells the gateway's other processes that this one is about to accept the request with this id, and
+        then learns what they have claimed.
+
+        Each process tells before it learns, so of two that accept the same id at least one knows of the
+        other. Raises TooManyOpenRequests if a process can't be told.
+        """
+        for link in self._links():
+            link.send(Message(Kind.CLAIM, raw=request.encode()))
+            if not link.flushed or not link.receive_claims():
+                raise TooManyOpenRequests("the gateway's other process cannot be told")
+
+    def _claimed_elsewhere(self, link: Link, message: Message) -> None:
+        """Records a claim of another process and passes it on to the others."""
+        self._requests.add_executed(_request_ids(message.raw))
+        for other in self._links():
+            if other is not link:
+                other.send(message)
+
     # Manual drains ------------------------------------------------------------------------------------
 
     def drains_changed(self) -> None:
@@ -270,6 +312,8 @@
                 )
         elif message.kind is Kind.LOOK:
             self._scan_processes()
+        elif message.kind is Kind.CLAIM:
+            self._claimed_elsewhere(link, message)
         elif sock is not None:
             sock.close()
 
@@ -287,6 +331,7 @@
                 self._router, self._interval_recorder, self._name, self._loop.clock.now(), time.time_ns()
             )
         )
+        link.send(Message(Kind.KNOWN, raw=" ".join(self._requests.unrepeatable_ids()).encode()))
         link.send(Message(Kind.LEARNED, raw=warm_state))
         self._log("upgrade_begins", learned_bytes=len(warm_state))
         self._lineage.add_successor(link)
@@ -328,11 +373,16 @@
         self._process_record.release()
 
 
+def _request_ids(raw: bytes) -> list[str]:
+    return raw.decode("ascii", "replace").split()
+
+
 def open_hot_restart(
     loop: Loop,
     folder: str | None,
     name: str,
     drains: DrainHolder,
+    requests: UnrepeatableRequests,
     on_limits_shared: Callable[[bool], None],
     log: Callable[..., None],
 ) -> HotRestart | None:
@@ -343,7 +393,7 @@
     try:
         if folder is None:
             raise FolderUnusable("TMPDIR is not set")
-        return HotRestart(loop, os.path.abspath(folder), name, drains, on_limits_shared, log)
+        return HotRestart(loop, os.path.abspath(folder), name, drains, requests, on_limits_shared, log)
     except FolderUnusable as error:
         log("presence_unusable", why=str(error))
         return None
--- a/olivecourse/ops/socket_handover.py
+++ b/olivecourse/ops/socket_handover.py
@@ -12,6 +12,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Protocol
 
@@ -44,24 +45,55 @@
         ...
 
 
+@dataclass
+class Received:
+    """What has been received on a link's socket and not been used yet."""
+
+    decoder: Decoder = field(default_factory=Decoder)
+    messages: deque[Message] = field(default_factory=deque)
+    descriptors: deque[int] = field(default_factory=deque)
+
+
+@dataclass
+class HandoverReply:
+    """The reply of the predecessor to a request for a hand-over."""
+
+    sock: socket.socket  # the connected socket
+    listener: socket.socket | None  # the predecessor's listening socket for clients, if it shares one
+    warm_state: bytes  # its encoded learned state
+    known_requests: bytes  # the raw bytes of its KNOWN message
+    received: Received  # what has arrived behind the reply
+
+
 class Link:
     """A Unix socket connection between two processes of a gateway; it carries messages in order, some of them
     with a file descriptor.
     """
 
     def __init__(
-        self, loop: Loop, sock: socket.socket, handler: LinkHandler, log: Callable[..., None]
+        self,
+        loop: Loop,
+        sock: socket.socket,
+        handler: LinkHandler,
+        log: Callable[..., None],
+        received: Received | None = None,
     ) -> None:
+        """`received` has what was received on the socket already."""
         self.loop, self.sock, self.log = loop, sock, log
         self._handler = handler
         self.open = True
-        self._decoder = Decoder()
-        self._pending_fds: deque[int] = deque()  # file descriptors that arrived ahead of their messages
+        received = received or Received()
+        self._decoder = received.decoder
+        self._messages = received.messages  # not passed to the handler yet
+        self._pending_fds = received.descriptors  # file descriptors that arrived ahead of their messages
+        self._end_reason = ""  # why the link ends once the handler has had the messages received
         self._send_queue: deque[tuple[memoryview, int]] = deque()  # unsent bytes, and a descriptor or -1
         self._queued_bytes = 0
         self._mask = READ
         sock.setblocking(False)
         loop.watch(sock, READ, self._ready)
+        if self._messages:
+            loop.next_turn(self._finish_read)
 
     def send(self, message: Message, fd: int = -1) -> None:
         """Sends a message, or queues what the socket does not take at once.
@@ -123,26 +155,58 @@
         """Reads what has arrived, in up to MAX_READS_PER_TURN reads, and passes complete messages to the
         handler. Closes the link if the peer has, or if a message is invalid.
         """
+        self._receive()
+        self._finish_read()
+
+    def receive_claims(self) -> bool:
+        """Reads like `read`, but passes only CLAIM messages to the handler now, and the others in the next
+        turn of the event loop. Returns whether all that has arrived has been read.
+        """
+        if not self.open:
+            return True
+        all_read = self._receive()
+        if self._messages or self._end_reason:
+            self.loop.next_turn(self._finish_read)
+        return all_read
+
+    def _receive(self) -> bool:
+        """Reads up to MAX_READS_PER_TURN times; returns whether all that has arrived has been read."""
         for _ in range(MAX_READS_PER_TURN):
+            if self._end_reason:
+                return True
             try:
                 data, fds, flags, _ = socket.recv_fds(self.sock, READ_BYTES, MAX_FDS_PER_READ)
             except (BlockingIOError, InterruptedError):
-                return
+                return True
             except OSError as error:
-                self.close(errno.errorcode.get(error.errno or 0, "error"))
-                return
+                self._end_reason = errno.errorcode.get(error.errno or 0, "error")
+                return True
             self._pending_fds.extend(fds)
             if not data or flags & socket.MSG_CTRUNC or len(self._pending_fds) > MAX_PENDING_FDS:
-                self.close("descriptors were lost" if data else "the peer has closed the link")
-                return
-            try:
-                for message in self._decoder.feed(data):
-                    if self.open:  # handling an earlier message may have closed the link
-                        self._dispatch(message)
-            except BadMessage as bad:
-                self.close(str(bad))
-            if not self.open:
-                return
+                self._end_reason = "descriptors were lost" if data else "the peer has closed the link"
+                return True
+            self._decode(data)
+        return False
+
+    def _decode(self, data: bytes) -> None:
+        try:
+            for message in self._decoder.feed(data):
+                if message.kind is Kind.CLAIM:
+                    self._handler.message_received(self, message, None)
+                else:
+                    self._messages.append(message)
+        except BadMessage as bad:
+            self._end_reason = str(bad)
+
+    def _finish_read(self) -> None:
+        """Passes the messages received to the handler, then closes the link if it has ended."""
+        try:
+            while self._messages and self.open:  # handling a message may close the link
+                self._dispatch(self._messages.popleft())
+        except BadMessage as bad:
+            self.close(str(bad))
+        if self._end_reason:
+            self.close(self._end_reason)
 
     def _dispatch(self, message: Message) -> None:
         sock = None
@@ -229,18 +293,16 @@
         self._sock.close()
 
 
-def request_handover(path: Path) -> tuple[socket.socket, socket.socket | None, bytes]:
+def request_handover(path: Path) -> HandoverReply:
     """Asks the predecessor, the running process whose Unix socket is at `path`, for a hand-over.
 
-    Called at the start of this process; blocks for the reply.
-
-    Returns the connected socket, the predecessor's listening socket for clients if it shares one, and its
-    encoded learned state. Raises OSError or BadMessage if there is no valid reply within ANSWER_TIMEOUT_S;
-    the process then starts without a hand-over.
+    Called at the start of this process; blocks for the reply. Raises OSError or BadMessage if there is no
+    valid reply within ANSWER_TIMEOUT_S; the process then starts without a hand-over.
     """
     sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
-    listener, decoder, deadline_s = None, Decoder(), time.monotonic() + ANSWER_TIMEOUT_S
-    pending_fds: deque[int] = deque()
+    listener, deadline_s = None, time.monotonic() + ANSWER_TIMEOUT_S
+    received, known_requests = Received(), b""
+    pending_fds = received.descriptors
     folder, name = _short_path(path)
     try:
         sock.settimeout(ANSWER_TIMEOUT_S)
@@ -256,11 +318,15 @@
                 raise OSError(
                     0, "the predecessor has closed the connection" if data == b"" else "descriptors were lost"
                 )
-            for message in decoder.feed(data):
+            received.messages.extend(received.decoder.feed(data))
+            while received.messages:
+                message = received.messages.popleft()
                 if message.kind is Kind.LISTENER and pending_fds:
                     listener = _socket_from_fd(pending_fds.popleft())
+                elif message.kind in (Kind.KNOWN, Kind.CLAIM):
+                    known_requests += b" " + message.raw
                 elif message.kind is Kind.LEARNED:
-                    return sock, listener, message.raw
+                    return HandoverReply(sock, listener, message.raw, known_requests, received)
     except BaseException:
         sock.close()
         for fd in pending_fds:
