Send on a connection only while it leads to its store's present address

An attempt for a store could go to another store.

Cause: an attempt that waits for its connection was sent once that was established, if discovery listed its store as ready. If the store had moved meanwhile, the connection led to whoever listens at its old address by then.

Evidence: tests/test_address_reuse.py failed without the change for a read and an order whose store had moved; it held for a store that had gone.

Change: ServerPool.may_send, which every send passes, compares the connection's address with the one that discovery tells.

Result: the four tests hold.

--- a/olivecourse/net/server_pool.py
+++ b/olivecourse/net/server_pool.py
@@ -397,11 +397,14 @@
 
         The store, and the parent or origin from which it is to fill, must be ready according to discovery,
         and the request tracker must still permit the attempt (request open, deadline not reached, object not
-        purged since).
+        purged since). The connection must lead to the store's present address: at an earlier one, another
+        store may have come up while the connection was being established.
         """
-        source = attempt.source
+        source, connection = attempt.source, attempt.connection
         return (
-            self.directory.ready(attempt.action.cache)
+            isinstance(connection, StoreConnection)
+            and connection.address == self.directory.addresses.get(attempt.action.cache)
+            and self.directory.ready(attempt.action.cache)
             and (source is None or self.directory.ready(source))
             and self.tracker.may_send(attempt)
         )
