Close no small unfinished request for memory that other clients occupy

Cause: above the limit of memory for unfinished requests, all of them were closed if others held the memory, down to those of a few bytes, before the requests that wait on busy connections were refused. Seen by reading; no caller saw it.

Result: the new test in tests/test_crowds.py closed the small ones before and keeps them now, on both listeners.

--- a/olivecourse/fronts/listener.py
+++ b/olivecourse/fronts/listener.py
@@ -14,7 +14,7 @@
 from olivecourse import interface
 from olivecourse.config.address import Address
 from olivecourse.net.loop import READ, Loop
-from olivecourse.net.ring_buffer import MAX_IDLE_CAPACITY
+from olivecourse.net.ring_buffer import INITIAL_CAPACITY, MAX_IDLE_CAPACITY
 from olivecourse.net.stream import READS, Stream, listen
 
 MS = 1_000_000
@@ -34,6 +34,9 @@
 # A connection that has never carried a whole request may be closed for a new client once a request has been
 # arriving on it for this time.
 MIN_FIRST_REQUEST_AGE_NS = 20 * MS
+# A connection whose unfinished request occupies less memory is not closed for it; little more than the buffer
+# of an idle connection.
+MIN_RECLAIMED_BYTES = 2 * INITIAL_CAPACITY
 MAX_EVICTION_CANDIDATES = 8  # connections of a group that are looked at for one that may be closed
 MAX_UNFINISHED_CANDIDATES = 64  # the same of those on which a request arrives
 LINGER_NS = 500 * MS  # how long `Client.linger` waits for the client to close its side
@@ -456,19 +459,21 @@
     def count_held_bytes(self, client: Client) -> None:
         """Counts the memory that a client's requests occupy, after bytes of it have been processed.
 
-        Above the limit, connections with an unfinished request are closed, those that occupy the most first;
-        if that is not enough, the client's waiting requests are refused. This guards against hundreds of
-        clients that write slowly, or stop within a request.
+        Above the limit, the client's waiting requests are refused if another one is open; if that is not
+        enough, connections with an unfinished request are closed, those that occupy the most first. This
+        guards against hundreds of clients that write slowly, or stop within a request.
         """
         self._update_unfinished(client)
         self._update_held_bytes(client)
+        if self._held_bytes > self._max_unread_bytes and client.open and client.load():
+            client.refuse_waiting_requests()
+            self._update_held_bytes(client)
         while self._held_bytes > self._max_unread_bytes and self._unfinished_clients:
             largest = max(self._unfinished_clients, key=lambda c: c.counted_bytes)
+            if largest.counted_bytes < MIN_RECLAIMED_BYTES:
+                break
             self.log("client_request_unfinished", held=largest.counted_bytes)
             largest.close("request not complete")
-        if self._held_bytes > self._max_unread_bytes and client.open:
-            client.refuse_waiting_requests()
-            self._update_held_bytes(client)
 
     def _update_held_bytes(self, client: Client) -> None:
         held_bytes = client.held_bytes() if client in self.clients else 0
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -76,6 +76,21 @@
     assert not working.closed
 
 
+def test_a_small_unfinished_request_stays_while_others_occupy_the_memory(harness):
+    """Guards against honest clients that are closed for memory that they do not hold."""
+    front = harness.gateway.front
+    unfinished = half_written(harness)
+    front._max_unread_bytes = 20_000
+    small = harness.client()
+    small.sock.sendall(HALF_REQUEST[harness.kind][:3])
+    wait_closed(harness, unfinished)
+    front._max_unread_bytes = 2_000  # less than the empty buffers take
+    other = harness.client()
+    other.sock.sendall(HALF_REQUEST[harness.kind][:3])
+    harness.until(lambda: len(front._unfinished_clients) == 2)
+    assert small.poll() == other.poll() == b"" and not small.closed and not other.closed
+
+
 def test_what_clients_occupied_is_not_counted_any_more_once_they_have_gone(harness):
     front = harness.gateway.front
     for client in [half_written(harness) for _ in range(3)]:
